--- /dev/null
+++ b/src/springmux/gateway/dialect.py
@@ -0,0 +1,33 @@
+"""Names of the headers that the gateway reads and writes. A deployment may use names of its own."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class HeaderNames(msgspec.Struct, frozen=True):
+    """Header names in lower case, as bytes. The defaults are the gateway's own interface (docs/API.md).
+
+    Read from callers: ``request_id``, ``deadline_ms`` (what the caller will wait), ``api_key``, ``model``,
+    ``token_usage`` (``PROMPT,MOST_OUT``), ``prompt_prefix`` (``ID:TOKENS`` parts in order, joined by commas).
+    Written to engines: ``target_engine``, ``tenant``, ``priority`` (0 to 9), ``last_event_id``.
+    Read from engines: ``not_executed`` (the request did not run), ``seal`` (the engine's signature, which
+    only the engine's own answer may carry), ``engine_id``.
+    """
+
+    request_id: bytes = b"x-request-id"
+    deadline_ms: bytes = b"x-deadline-ms"
+    api_key: bytes = b"x-api-key"
+    model: bytes = b"x-model"
+    token_usage: bytes = b"x-token-usage"
+    prompt_prefix: bytes = b"x-prompt-prefix"
+    target_engine: bytes = b"x-target-engine"
+    tenant: bytes = b"x-tenant"
+    priority: bytes = b"x-priority"
+    last_event_id: bytes = b"last-event-id"
+    not_executed: bytes = b"x-not-executed"
+    seal: bytes = b"x-answer-seal"
+    engine_id: bytes = b"x-engine-id"
+
+
+OWN_HEADERS = HeaderNames()
