--- a/src/springmux/agent/agent.py
+++ b/src/springmux/agent/agent.py
@@ -30,8 +30,10 @@
     OrderSubmitted,
     PeerReachable,
     PeerUnreachable,
+    SeedsChanged,
     StopBegun,
 )
+from springmux.agent.gateway_readiness import GatewayReadiness
 from springmux.agent.parts import build_parts, own_record
 from springmux.agent.readiness import Readiness
 from springmux.agent.reporting import build_status
@@ -48,12 +50,14 @@
 )
 from springmux.coordination.claims.journal import RecoveredClaims
 from springmux.coordination.consensus.effects import SnapshotInstalled, TransferLeadership
+from springmux.coordination.consensus.events import StopAnnounced
 from springmux.coordination.consensus.types import RecoveredState
 from springmux.coordination.identifiers import NodeId, Revision, Term
 from springmux.coordination.kernel import Effect, Event, MessageReceived, Part, Tick
 from springmux.coordination.membership.effects import MembershipChanged
 from springmux.coordination.membership.events import ContactChanged, LeaveBegun, OwnRecordChanged
 from springmux.coordination.membership.view import MembershipView
+from springmux.gateway.core import GatewayCore
 from springmux.rollout.status import RolloutStatus
 from springmux.router.router import Router
 from springmux.vocabulary.engines import EnginesView
@@ -82,6 +86,7 @@
         self._parts = build_parts(settings, recovered, self._applier.state, random, claims)
         self._routing = EffectRouting(NodeId(settings.node), self._parts, self._applier)
         self._readiness = Readiness(self._parts, self._applier)
+        self._gateway_readiness = GatewayReadiness(self._parts, self._applier)
         self._revisions: dict[NodeId, Revision] = {}
         self._now = 0.0
         self._handlers = self._make_handlers()
@@ -93,6 +98,11 @@
         """The data plane of this node."""
         return self._parts.router
 
+    @property
+    def gateway(self) -> GatewayCore:
+        """The shared state of this node's forwarded requests."""
+        return self._parts.gateway
+
     @property
     def control(self) -> ControlState:
         """The control state machine: documents, history, decided orders. Never applied to from outside."""
@@ -123,6 +133,16 @@
         """Why the node takes no requests; empty while it does."""
         return self._readiness.reason
 
+    @property
+    def gateway_ready(self) -> bool:
+        """Whether the node takes requests to the gateway, in contact with a majority or not."""
+        return self._gateway_readiness.ready
+
+    @property
+    def gateway_reason(self) -> str:
+        """Why the node takes no requests to the gateway; empty while it does."""
+        return self._gateway_readiness.reason
+
     @property
     def place(self) -> tuple[Term, NodeId | None, Revision]:
         """Newest term, its leader and the state revision, for the envelope of every message."""
@@ -161,7 +181,8 @@
 
     def next_deadline(self) -> float:
         """Return when a :class:`Tick` is wanted."""
-        return min(self._routing.chores.next_deadline(), self._routing.deadlines.earliest())
+        own = min(self._routing.chores.next_deadline(), self._gateway_readiness.next_deadline())
+        return min(own, self._routing.deadlines.earliest())
 
     def _make_handlers(self) -> dict[type[Event], Handler]:
         to_membership = self._to(self._parts.membership)
@@ -183,6 +204,7 @@
             EngineLeft: to_directory,
             PeerReachable: to_membership,
             PeerUnreachable: to_membership,
+            SeedsChanged: to_membership,
             CommandsPrepared: self._on_prepared,
             StopBegun: self._on_stop,
             LeadershipTransferRequested: self._on_transfer,
@@ -238,6 +260,7 @@
     def _on_stop(self, event: StopBegun, now: float) -> list[Effect]:
         self._readiness.stopping = True
         effects = self._routing.give(self._parts.membership, LeaveBegun(), now)
+        effects += self._routing.give_replica(StopAnnounced(), now)
         if self._routing.leadership.leading:
             effects += self._routing.give_replica(TransferLeadership(), now)
         return effects
@@ -273,6 +296,8 @@
         was_ready = self._readiness.ready
         if self._readiness.look(now):
             effects += self._change_readiness(was_ready, now)
+        caught_up = self._readiness.connected and not self._parts.directory.catching_up(now)
+        self._gateway_readiness.look(self._readiness.stopping, caught_up, now)
         return effects
 
     def _change_readiness(self, was_ready: bool, now: float) -> list[Effect]:
--- a/src/springmux/agent/effect_routing.py
+++ b/src/springmux/agent/effect_routing.py
@@ -38,6 +38,8 @@
 from springmux.coordination.membership.events import MembershipUpdated
 from springmux.coordination.quota import messages as quota_messages
 from springmux.coordination.quota.events import QuotaMembersChanged
+from springmux.coordination.usage import messages as usage_messages
+from springmux.coordination.usage.events import UsageMembersChanged
 from springmux.rollout import messages as rollout_messages
 from springmux.rollout.effects import AbortWanted, FinishWanted, StepWanted
 from springmux.rollout.events import EnginesChanged as RolloutEnginesChanged
@@ -58,7 +60,7 @@
         self.applier = applier
         self.leadership = LeadershipKnowledge(own)
         self.chores = LeaderChores()
-        self.deadlines = Deadlines(parts.timed(), volatile=(parts.quota,))
+        self.deadlines = Deadlines(parts.timed(), volatile=(parts.quota, parts.usage))
         self.group = GroupOrders(own, parts.replica)
         self.installing: raft.InstallSnapshot | None = None
         self.established = False
@@ -144,7 +146,8 @@
             for record in self.parts.membership.view.controllers()
             if record.replica is not None
         )
-        return self.give_replica(FoundingCandidates(members, established), now)
+        leader = self.leadership.known.leader
+        return self.give_replica(FoundingCandidates(members, established, leader), now)
 
     def _make_handlers(self) -> dict[type[Effect], Handler]:
         return {
@@ -180,6 +183,7 @@
             (order_messages, parts.desk),
             (claim_messages, parts.claims),
             (quota_messages, parts.quota),
+            (usage_messages, parts.usage),
             (rollout_messages, parts.rollout),
             (consensus_messages, parts.replica),
         ]
@@ -198,10 +202,13 @@
         effects += self.give(parts.delivery, delivery_events.MembershipChanged(view), now)
         effects += self.give(parts.rollout, FleetChanged(view), now)
         effects += self.give(parts.quota, QuotaMembersChanged(view), now)
+        effects += self.give(parts.usage, UsageMembersChanged(view), now)
+        parts.gateway.update_fleet(len(view.present()))
         return effects + self.tell_candidates(now)
 
     def _on_engines_changed(self, effect: EnginesChanged, now: float) -> list[Effect]:
         self.parts.router.update_engines(effect.view, now)
+        self.parts.gateway.update_engines(effect.view, now)
         return self.give(self.parts.rollout, RolloutEnginesChanged(effect.view), now)
 
     def _on_state_work(self, effect: StateWork, now: float) -> list[Effect]:
--- a/src/springmux/agent/events.py
+++ b/src/springmux/agent/events.py
@@ -7,7 +7,7 @@
 from springmux.control.commands import AnyCommand
 from springmux.coordination.identifiers import Address, NodeId, Term
 from springmux.coordination.kernel import Event
-from springmux.coordination.membership.events import PeerReachable, PeerUnreachable
+from springmux.coordination.membership.events import PeerReachable, PeerUnreachable, SeedsChanged
 from springmux.vocabulary.engines import EngineLoad, EngineRecord
 from springmux.vocabulary.names import EngineId
 
@@ -26,6 +26,7 @@
     "OrderSubmitted",
     "PeerReachable",
     "PeerUnreachable",
+    "SeedsChanged",
     "StopBegun",
 ]
 
@@ -121,3 +122,14 @@
     seeds: tuple[Address, ...]
     controllers_expected: int = 3
     routes: bool = True
+    losses_tolerated: int | None = None
+    """f: the control group keeps 2f + 1 voters, and is founded by as many, instead of by
+    ``controllers_expected``."""
+    first_start: bool = True
+    """Whether this is the first start of the whole system. Else an empty replica only joins, never founds."""
+
+    @property
+    def voters(self) -> int:
+        """Return how many replicas found the control group and vote in it."""
+        tolerated = self.losses_tolerated
+        return self.controllers_expected if tolerated is None else 2 * tolerated + 1
--- a/src/springmux/agent/in_force.py
+++ b/src/springmux/agent/in_force.py
@@ -8,6 +8,7 @@
 from springmux.coordination.claims.events import HoldersChanged
 from springmux.coordination.kernel import Effect
 from springmux.coordination.quota.events import AccountRate, AccountsChanged
+from springmux.coordination.usage.events import AccountLimit, AccountLimitsChanged
 from springmux.rollout.events import ControlViewChanged, RolloutSettings
 from springmux.router.flow import RequestFlow
 
@@ -28,10 +29,13 @@
         effects: list[Effect] = []
         if view.tenants is not before.tenants:
             parts.quota.handle(_account_changes(before, view), now)
+        if view.gateway.tenants is not before.gateway.tenants:
+            parts.usage.handle(_account_limits(view), now)
         if view.claim_ring is not None and view.claim_ring is not before.claim_ring:
             effects += parts.claims.handle(HoldersChanged(view.claim_ring), now)
         if view.rollouts is not before.rollouts or view.configuration is not before.configuration:
             effects += parts.rollout.handle(rollout_view(view), now)
+        parts.gateway.update_control(view, now)
         flows = parts.router.update_control(view, now)
         return [*effects, ControlChanged(view.revision)], flows
 
@@ -46,6 +50,14 @@
     return AccountsChanged(changed, removed)
 
 
+def _account_limits(view: ControlView) -> AccountLimitsChanged:
+    limits = {
+        str(name): AccountLimit(tenant.rate_per_s, tenant.burst)
+        for name, tenant in view.gateway.tenants.items()
+    }
+    return AccountLimitsChanged(limits)
+
+
 def rollout_view(view: ControlView) -> ControlViewChanged:
     """Return what the rollout part hears of a control state."""
     exceptions = view.configuration.exceptions
--- a/src/springmux/agent/parts.py
+++ b/src/springmux/agent/parts.py
@@ -21,12 +21,21 @@
 from springmux.coordination.membership.part import MembershipPart
 from springmux.coordination.membership.view import NodeRecord, NodeRole
 from springmux.coordination.quota.part import QuotaPart
+from springmux.coordination.usage.part import UsagePart
+from springmux.gateway.core import GatewayCore
 from springmux.rollout.part import RolloutPart, RolloutSettings
 from springmux.router.router import Router
 
-RAFT_HEARTBEAT_S = 0.2
-"""A third of the shortest election timeout: two lost heartbeats in a row start no election. Measured: half
-the messages of 0.1 s, and as long without a leader after a loss (``springmux lab bench --only control``)."""
+RAFT_HEARTBEAT_S = 0.15
+"""Less than a third of the shortest election timeout: two lost heartbeats in a row start no election."""
+ELECTION_TIMEOUT_MIN_S = 0.5
+ELECTION_TIMEOUT_MAX_S = 0.9
+"""A lost leader is to be replaced within about a second (docs/notes/agreement.md, "Measured")."""
+TOLD_FOUNDING_RETRY_S = 0.25
+TOLD_FOUNDING_PROMISE_S = 1.5
+"""Where the settings tell whether this is the first start, nobody needs time to speak up against it."""
+VOTER_LOST_AFTER_S = 2.0
+"""A machine that is lost counts as replaced 4 s after its successor's start, which is 1 s after the loss."""
 
 
 @dataclass(slots=True)
@@ -40,8 +49,10 @@
     desk: OrderDesk
     claims: ClaimPart
     quota: QuotaPart
+    usage: UsagePart
     rollout: RolloutPart
     router: Router
+    gateway: GatewayCore
     replica: Replica | None
 
     def timed(self) -> tuple[Part, ...]:
@@ -54,6 +65,7 @@
             self.desk,
             self.claims,
             self.quota,
+            self.usage,
             self.rollout,
         )
         return always if self.replica is None else (*always, self.replica)
@@ -76,6 +88,30 @@
     )
 
 
+def consensus_settings(settings: AgentSettings) -> ConsensusSettings:
+    """Return the control group's bounds under a node's settings."""
+    told = settings.losses_tolerated is not None
+    defaults = ConsensusSettings()
+    return ConsensusSettings(
+        controllers_expected=settings.voters,
+        voters_wished=settings.voters if told else defaults.voters_wished,
+        may_found=settings.first_start,
+        founding_retry_s=TOLD_FOUNDING_RETRY_S if told else defaults.founding_retry_s,
+        founding_promise_s=TOLD_FOUNDING_PROMISE_S if told else defaults.founding_promise_s,
+        heartbeat_s=RAFT_HEARTBEAT_S,
+        election_timeout_min_s=ELECTION_TIMEOUT_MIN_S,
+        election_timeout_max_s=ELECTION_TIMEOUT_MAX_S,
+        lost_after_s=VOTER_LOST_AFTER_S,
+    )
+
+
+def _is_part_of_a_fleet(settings: AgentSettings) -> bool:
+    """Whether a node that met nobody must take itself for cut off rather than for the whole fleet."""
+    if settings.losses_tolerated:
+        return True
+    return any(seed != settings.peer_address for seed in settings.seeds)
+
+
 def build_parts(
     settings: AgentSettings,
     recovered: RecoveredState | None,
@@ -92,17 +128,15 @@
         return random.Random(source.getrandbits(64))
 
     own = NodeId(settings.node)
-    other_seeds = [seed for seed in settings.seeds if seed != settings.peer_address]
-    contact = ContactPart(own, bool(other_seeds), generator())
+    contact = ContactPart(own, _is_part_of_a_fleet(settings), generator())
     quota = QuotaPart(own, generator())
     rollout = RolloutPart(own, ZoneName(settings.zone), generator(), RolloutSettings())
     router = Router(own, settings.zone, generator(), rollout.filter, quota, contact.connected)
     replica = None
     if recovered is not None:
-        consensus = ConsensusSettings(
-            controllers_expected=settings.controllers_expected, heartbeat_s=RAFT_HEARTBEAT_S
-        )
-        replica = Replica(recovered, own, generator(), consensus)
+        replica = Replica(recovered, own, generator(), consensus_settings(settings))
+    usage = UsagePart(own, generator())
+    gateway = GatewayCore(settings.zone, generator(), rollout.filter, usage)
     return NodeParts(
         membership=MembershipPart(own_record(settings, recovered), settings.seeds, generator()),
         contact=contact,
@@ -111,7 +145,9 @@
         desk=OrderDesk(own, state),
         claims=ClaimPart(own, generator(), recovered=claims),
         quota=quota,
+        usage=usage,
         rollout=rollout,
         router=router,
+        gateway=gateway,
         replica=replica,
     )
--- a/src/springmux/agent/wire.py
+++ b/src/springmux/agent/wire.py
@@ -19,6 +19,7 @@
 from springmux.coordination.membership import contact_messages
 from springmux.coordination.membership import messages as membership_messages
 from springmux.coordination.quota import messages as quota_messages
+from springmux.coordination.usage import messages as usage_messages
 from springmux.rollout import messages as rollout_messages
 
 _MODULES = (
@@ -32,6 +33,7 @@
     order_messages,
     quota_messages,
     rollout_messages,
+    usage_messages,
 )
 
 ALL_MESSAGES: tuple[type[PeerMessage], ...] = tuple(
--- a/src/springmux/cli/doctor.py
+++ b/src/springmux/cli/doctor.py
@@ -16,7 +16,8 @@
 from springmux.cli.exit_codes import ExitCode
 from springmux.cli.node_command import SettingsOption
 from springmux.cli.output import JsonOption, print_json
-from springmux.node.settings import NodeSettings, load_settings, split_address
+from springmux.node.addresses import split_address
+from springmux.node.settings import NodeSettings, load_settings
 from springmux.vocabulary.errors import SettingsError
 
 CONNECT_TIMEOUT_S = 2.0
--- a/src/springmux/control/accounts_section.py
+++ b/src/springmux/control/accounts_section.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from springmux.control.commands import PutKey, PutTenant, RemoveTenant, RevokeKey
-from springmux.control.documents import NAME_PATTERN
+from springmux.control.name_pattern import NAME_PATTERN
 from springmux.control.persistent_map import PersistentMap
 from springmux.control.verdict import ACCEPTED, Verdict, conflict, invalid, not_found
 from springmux.control.view import KeyRecord, Tenant
--- a/src/springmux/control/commands.py
+++ b/src/springmux/control/commands.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import hashlib
 from typing import Any
 
 import msgspec
@@ -16,7 +17,18 @@
 from springmux.coordination.identifiers import Revision
 from springmux.rollout.plan import RolloutDecision, RolloutPhase, RolloutPlan
 from springmux.vocabulary.errors import FieldError, SpringmuxError
-from springmux.vocabulary.names import KeyDigest, KeyId, OrderId, RolloutId, ServiceName, TenantName
+from springmux.vocabulary.names import (
+    KeyDigest,
+    KeyId,
+    OrderId,
+    RolloutId,
+    ServiceName,
+    TenantName,
+    VersionName,
+)
+
+GATEWAY_ORDER_BYTES = 16
+"""Two changes share an order id with a probability below 1e-20 in years of hundreds of changes a day."""
 
 
 class Command(msgspec.Struct, frozen=True, tag=True, omit_defaults=True, kw_only=True):
@@ -37,6 +49,18 @@
     partial: bool = False
 
 
+class ApplyGateway(Command, frozen=True, kw_only=True):
+    """Change the gateway's configuration if it is still at ``base_version`` (0: there is none yet).
+
+    ``document``: JSON, see :mod:`springmux.control.gateway_change`. ``partial``: it names single items to
+    put and to remove. ``order`` is :func:`gateway_order_id`; only accepted changes are remembered by it.
+    """
+
+    base_version: int
+    document: bytes
+    partial: bool = False
+
+
 class PutTenant(Command, frozen=True, kw_only=True):
     """Create or replace a tenant."""
 
@@ -71,10 +95,15 @@
 
 
 class PromoteRollout(Command, frozen=True, kw_only=True):
-    """Begin a rollout under a plan; conflicts with one under way for the service."""
+    """Begin a rollout under a plan; conflicts with one under way for the service.
+
+    ``stable``: the version released now, as the node that took the order knows it from the engines. It
+    counts only for a service of the gateway that never had a rollout.
+    """
 
     rollout: RolloutId
     plan: RolloutPlan
+    stable: VersionName = VersionName("")
 
 
 class PauseRollout(Command, frozen=True, kw_only=True):
@@ -127,6 +156,7 @@
 
 AnyCommand = (
     ApplyConfiguration
+    | ApplyGateway
     | PutTenant
     | RemoveTenant
     | PutKey
@@ -170,6 +200,16 @@
     winner: dict[str, Any] | None = None
 
 
+def gateway_order_id(base_version: int, document: bytes, partial: bool) -> OrderId:
+    """Return the order of a gateway change, made from its content.
+
+    The same change sent again, to any node, is the same order and gets its first answer.
+    """
+    digest = hashlib.blake2b(f"{base_version}:{int(partial)}:".encode(), digest_size=GATEWAY_ORDER_BYTES)
+    digest.update(document)
+    return OrderId(f"gateway/{digest.hexdigest()}")
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[AnyCommand] = msgspec.msgpack.Decoder(AnyCommand)
 
--- a/src/springmux/control/configuration.py
+++ b/src/springmux/control/configuration.py
@@ -6,27 +6,21 @@
 
 from __future__ import annotations
 
-import difflib
 import re
 from collections.abc import Callable, Mapping
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
-from pydantic import ValidationError
-
-from springmux.control.documents import (
-    NAME_PATTERN,
-    DocumentPart,
-    ExceptionsDocument,
-    LimitsDocument,
-    RouteDocument,
-    ServiceDocument,
-)
+
+from springmux.control.name_pattern import NAME_PATTERN
 from springmux.control.nesting import MAX_DEPTH, is_shallow
 from springmux.control.view import AdmissionLimits, Configuration
 from springmux.vocabulary.errors import FieldError, SpringmuxError
 from springmux.vocabulary.names import RouteName, ServiceName
 
+if TYPE_CHECKING:
+    from springmux.control.documents import DocumentPart
+
 MAX_DOCUMENT_BYTES = 8 << 20
 """Default bound of a configuration document (docs/API.md: larger ones are answered 413)."""
 MAX_REPORTED_ERRORS = 1000
@@ -35,7 +29,7 @@
 """Comparing with thousands of names for each of thousands of errors would take minutes."""
 SECTIONS = ("services", "routes", "limits", "exceptions")
 
-Part = TypeVar("Part", bound=DocumentPart)
+Part = TypeVar("Part", bound="DocumentPart")
 Typed = TypeVar("Typed")
 
 
@@ -105,6 +99,8 @@
 
     :raises ConfigurationInvalid: with every wrong field.
     """
+    from springmux.control.documents import ExceptionsDocument, LimitsDocument, RouteDocument, ServiceDocument
+
     checker = _Checker()
     sections = checker.sections(value)
     services = checker.named(sections, "services", ServiceDocument, ServiceDocument.to_service)
@@ -188,6 +184,8 @@
             self.add("limits.interactive_reserved", message)
 
     def _part(self, value: Any, path: str, model: type[Part]) -> Part | None:
+        from pydantic import ValidationError
+
         try:
             return model.model_validate(value)
         except ValidationError as error:
@@ -215,5 +213,7 @@
     """Return a hint at the known name most like ``name``, or nothing."""
     if len(known) > MAX_HINT_CANDIDATES:
         return ""
+    import difflib  # needed for wrong documents only
+
     close = difflib.get_close_matches(name, known, n=1)
     return f"; did you mean {close[0]!r}?" if close else ""
--- a/src/springmux/control/configuration_section.py
+++ b/src/springmux/control/configuration_section.py
@@ -126,7 +126,7 @@
             found = configuration.services.get(claim.service) if configuration else None
             before = self.present.configuration.services.get(claim.service)
             path = f"services.{claim.service}"
-            if found is None and claim.running:
+            if found is None and before is not None and claim.running:
                 errors.append(FieldError(path, "a rollout of this service is under way; abort it first"))
             elif found is not None and found.stable not in (claim.stable, before.stable if before else ""):
                 message = f"the stable version is {claim.stable!r} since its rollout; promote to change it"
--- a/src/springmux/control/documents.py
+++ b/src/springmux/control/documents.py
@@ -1,7 +1,8 @@
 """Pydantic models of the operators' configuration document: one object of it each.
 
 Names, defaults and units are those of :mod:`springmux.control.view`. They say what is wrong with an
-object; :mod:`springmux.control.configuration` puts the whole together.
+object; :mod:`springmux.control.configuration` puts the whole together. Only the first document that is
+parsed imports this module: loading pydantic takes longer than all else of a node's start.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from springmux.control.name_pattern import NAME_PATTERN
 from springmux.control.view import (
     AdmissionLimits,
     DeploymentExceptions,
@@ -20,9 +22,6 @@
 )
 from springmux.vocabulary.names import RouteName, ServiceName, VersionName
 
-NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$"
-"""Names go into URLs, headers and metric labels as they are."""
-
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 Seconds = Annotated[float, Field(gt=0, le=3600, allow_inf_nan=False)]
 Share = Annotated[float, Field(gt=0, le=1, allow_inf_nan=False)]
--- a/src/springmux/control/gateway_configuration.py
+++ b/src/springmux/control/gateway_configuration.py
@@ -58,9 +58,7 @@
     @property
     def repeatable(self) -> bool:
         """Whether a request may run on a second engine after it may have run on a first."""
-        return self.kind is GatewayRouteKind.SAFE or (
-            self.kind is GatewayRouteKind.STREAM and self.resumable
-        )
+        return self.kind is GatewayRouteKind.SAFE or (self.kind is GatewayRouteKind.STREAM and self.resumable)
 
 
 class ModelEngineShape(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/springmux/control/order_memory.py
@@ -0,0 +1,52 @@
+"""What the control state remembers of decided orders: operators' and the leader's own, apart."""
+
+from __future__ import annotations
+
+from springmux.control.commands import AnyCommand, ApplyGateway, CommandResult, Outcome
+from springmux.control.order_window import DecidedOrder, OrderWindow, command_digest
+from springmux.vocabulary.names import OrderId
+
+SYSTEM_ISSUER = "system"
+"""``issued_by`` of the leader's own commands."""
+MAX_SYSTEM_ORDERS = 1000
+"""They are sent again for seconds at most; a rollout takes some tens of them a minute."""
+
+
+class OrderMemory:
+    """Two windows, so that a busy rollout never pushes an operator's order out."""
+
+    def __init__(self, max_orders: int, max_order_bytes: int) -> None:
+        self.operators = OrderWindow(max_orders, max_order_bytes)
+        self.system = OrderWindow(MAX_SYSTEM_ORDERS, max_order_bytes)
+
+    def find(self, order: OrderId) -> DecidedOrder | None:
+        """Return the decided order of that id, if it's still kept."""
+        return self.operators.find(order) or self.system.find(order)
+
+    def recall(self, command: AnyCommand) -> CommandResult | None:
+        """Return the first result of a command sent again, or ``None`` if it must be decided."""
+        found = self.find(command.order) if command.order else None
+        if found is None:
+            return None
+        if found.digest == command_digest(command):
+            return found.result
+        return CommandResult(
+            order=command.order,
+            outcome=Outcome.CONFLICT,
+            revision=found.result.revision,
+            message="this order id was used for another command; take a new one",
+            winner={"order": command.order, "revision": found.result.revision},
+        )
+
+    def remember(self, command: AnyCommand, result: CommandResult) -> None:
+        """Keep the result, unless it is a refusal of an order that is to be decided anew.
+
+        A refused step of the leader may be due later (after a pause). A gateway change's order is made
+        from its content, so that the operator can't take a new one.
+        """
+        is_system = command.issued_by == SYSTEM_ISSUER
+        only_accepted = is_system or isinstance(command, ApplyGateway)
+        if not command.order or (only_accepted and result.outcome is not Outcome.ACCEPTED):
+            return
+        window = self.system if is_system else self.operators
+        window.record(command.order, command_digest(command), result)
--- a/src/springmux/control/order_window.py
+++ b/src/springmux/control/order_window.py
@@ -8,8 +8,14 @@
 
 import msgspec
 
-from springmux.control.commands import AnyCommand, CommandResult, PromoteRollout, encode_command
-from springmux.vocabulary.names import OrderId, RolloutId
+from springmux.control.commands import (
+    AnyCommand,
+    ApplyGateway,
+    CommandResult,
+    PromoteRollout,
+    encode_command,
+)
+from springmux.vocabulary.names import OrderId, RolloutId, VersionName
 
 DEFAULT_MAX_ORDERS = 10_000
 """At one order a second, a resend is recognised for nearly three hours."""
@@ -31,10 +37,13 @@
 def command_digest(command: AnyCommand) -> bytes:
     """Return what makes two commands the same order.
 
-    A rollout's id is left out: the node that takes the order makes it, and a resend may go to another.
+    A rollout's id and stable version are left out: the node that takes the order makes or measures them,
+    and a resend may go to another. A gateway change is its content, whoever sends it.
     """
     if isinstance(command, PromoteRollout):
-        command = msgspec.structs.replace(command, rollout=RolloutId(""))
+        command = msgspec.structs.replace(command, rollout=RolloutId(""), stable=VersionName(""))
+    elif isinstance(command, ApplyGateway):
+        command = msgspec.structs.replace(command, issued_by="")
     return hashlib.blake2b(encode_command(command), digest_size=DIGEST_BYTES).digest()
 
 
--- a/src/springmux/control/rollout_section.py
+++ b/src/springmux/control/rollout_section.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Any
 
 import msgspec
@@ -48,14 +48,21 @@
     def promote(self, command: PromoteRollout, stable: VersionName | None) -> Verdict:
         """Begin a rollout at the plan's canary weight.
 
-        :param stable: the service's stable version; ``None`` if there is no such service.
+        A candidate that is stable because its rollout is done is accepted once more: an order resent.
+
+        :param stable: the service's stable version; ``None`` if there is no such service, empty if the
+            version isn't known.
         """
         plan = command.plan
         if stable is None:
             return invalid(FieldError("plan.service", f"there is no service {plan.service!r}"))
+        if not stable:
+            return invalid(FieldError("stable", f"no version of {plan.service!r} is known to be released"))
         record = self.records.get(plan.service)
         if record is not None and record.phase not in TERMINAL_PHASES:
             return conflict(f"rollout {record.rollout!r} of {plan.service!r} is under way", _winner(record))
+        if record is not None and record.phase is RolloutPhase.DONE and record.candidate == plan.candidate:
+            return ACCEPTED
         if not command.rollout or self._used(command.rollout):
             return conflict(f"rollout id {command.rollout!r} is empty or was used before")
         if plan.candidate == stable:
@@ -153,9 +160,16 @@
             for record in self.records.values()
         )
 
-    def forget_services(self, known: Mapping[ServiceName, object]) -> None:
-        """Drop records of services that the configuration no longer has; their history stays."""
-        self.records = {name: record for name, record in self.records.items() if name in known}
+    def forget_services(self, known: Collection[ServiceName]) -> None:
+        """Drop records of services that no configuration has any more; their history stays.
+
+        One that still runs is kept until it ends: the gateway's service may go while it is under way.
+        """
+        self.records = {
+            name: record
+            for name, record in self.records.items()
+            if name in known or record.phase not in TERMINAL_PHASES
+        }
 
     def restore(self, records: tuple[RolloutRecord, ...], ended: tuple[EndedRollout, ...]) -> None:
         """Take over a snapshot's section."""
--- a/src/springmux/control/state.py
+++ b/src/springmux/control/state.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
+
 import msgspec
 
 from springmux.control.accounts_section import AccountsSection
@@ -13,6 +15,7 @@
     AbortRollout,
     AnyCommand,
     ApplyConfiguration,
+    ApplyGateway,
     CommandResult,
     FinishRollout,
     Outcome,
@@ -29,29 +32,20 @@
     UnknownCommand,
     decode_command,
 )
-from springmux.control.configuration import MAX_DOCUMENT_BYTES
+from springmux.control.configuration import MAX_DOCUMENT_BYTES, ConfigurationInvalid
 from springmux.control.configuration_section import ConfigurationSection, ConfigurationVersion
-from springmux.control.order_window import (
-    DEFAULT_MAX_BYTES,
-    DEFAULT_MAX_ORDERS,
-    DecidedOrder,
-    OrderWindow,
-    command_digest,
-)
+from springmux.control.gateway_section import GatewaySection
+from springmux.control.order_memory import OrderMemory
+from springmux.control.order_window import DEFAULT_MAX_BYTES, DEFAULT_MAX_ORDERS
 from springmux.control.rollout_section import EndedRollout, RolloutSection
-from springmux.control.state_image import StateImage, decode_image, encode_image
+from springmux.control.state_image import ImageUnreadable, StateImage, decode_image, encode_image
 from springmux.control.templates_section import TemplatesSection
 from springmux.control.verdict import ACCEPTED, Verdict, conflict
 from springmux.control.view import EMPTY_VIEW, ControlView
 from springmux.coordination.claims.ring import ClaimRing
 from springmux.coordination.identifiers import Revision
 from springmux.vocabulary.errors import FieldError
-from springmux.vocabulary.names import OrderId, ServiceName
-
-SYSTEM_ISSUER = "system"
-"""``issued_by`` of the leader's own commands."""
-MAX_SYSTEM_ORDERS = 1000
-"""They are sent again for seconds at most; a rollout takes some tens of them a minute."""
+from springmux.vocabulary.names import OrderId, ServiceName, VersionName
 
 
 class ControlState:
@@ -64,12 +58,11 @@
         max_order_bytes: int = DEFAULT_MAX_BYTES,
     ) -> None:
         self._configuration = ConfigurationSection(max_document_bytes)
+        self._gateway = GatewaySection(max_document_bytes)
         self._accounts = AccountsSection()
         self._templates = TemplatesSection()
         self._rollouts = RolloutSection()
-        self._orders = OrderWindow(max_orders, max_order_bytes)
-        self._system_orders = OrderWindow(MAX_SYSTEM_ORDERS, max_order_bytes)
-        """Apart, so that a busy rollout never pushes an operator's order out of the window."""
+        self._orders = OrderMemory(max_orders, max_order_bytes)
         self._claim_ring: ClaimRing | None = None
         self._view = EMPTY_VIEW
 
@@ -86,10 +79,10 @@
             command = decode_command(data)
         except msgspec.DecodeError as error:
             raise UnknownCommand(f"command at index {index} can't be read: {error}") from error
-        result = self._recall(command)
+        result = self._orders.recall(command)
         if result is None:
             result = self._result(command, index, self._decide(command, index))
-            self._remember(command, result)
+            self._orders.remember(command, result)
         self._view = self._build_view(index)
         return result
 
@@ -99,7 +92,7 @@
 
     def decided(self, order: OrderId) -> CommandResult | None:
         """Return the result of a decided order, as long as it's kept."""
-        found = self._find_order(order)
+        found = self._orders.find(order)
         return found.result if found else None
 
     def recall(self, data: bytes) -> CommandResult | None:
@@ -108,7 +101,7 @@
         :raises UnknownCommand: if it can't be read.
         """
         try:
-            return self._recall(decode_command(data))
+            return self._orders.recall(decode_command(data))
         except msgspec.DecodeError as error:
             raise UnknownCommand(f"command can't be read: {error}") from error
 
@@ -123,6 +116,8 @@
             return
         if isinstance(command, ApplyConfiguration):
             self._configuration.prepare(command)
+        elif isinstance(command, ApplyGateway):
+            self._gateway.prepare(command)
 
     def check_configuration(self, document: bytes, partial: bool = False) -> tuple[FieldError, ...]:
         """Return every error that the document would be refused for now; changes nothing."""
@@ -136,6 +131,10 @@
             return self._configuration.present.document
         return self._configuration.document_of(version)
 
+    def gateway_document(self) -> bytes | None:
+        """Return the gateway's whole configuration as JSON, each item as it was sent; ``None``: none yet."""
+        return self._gateway.document() or None
+
     def configuration_history(self) -> tuple[ConfigurationVersion, ...]:
         """Return the newest versions, oldest first."""
         return self._configuration.history
@@ -159,9 +158,10 @@
             templates=tuple(sorted(self._templates.documents.items())),
             rollouts=tuple(sorted(self._rollouts.records.values(), key=lambda record: record.service)),
             ended=self._rollouts.ended,
-            orders=self._orders.decided(),
+            orders=self._orders.operators.decided(),
             claim_ring=self._claim_ring,
-            system_orders=self._system_orders.decided(),
+            system_orders=self._orders.system.decided(),
+            gateway_document=self._gateway.document(),
         )
         return encode_image(image)
 
@@ -171,40 +171,19 @@
         :raises ImageUnreadable: nothing changed.
         """
         image = decode_image(data)
+        try:
+            self._gateway = self._gateway.restored(image.gateway_document)
+        except ConfigurationInvalid as error:
+            raise ImageUnreadable(f"the gateway's configuration can't be read: {error}") from error
         self._configuration.restore(image.configuration, image.document, image.history, image.documents)
         self._accounts.restore(image.tenants, image.keys)
         self._templates.documents = dict(image.templates)
         self._rollouts.restore(image.rollouts, image.ended)
-        self._orders.replace(image.orders)
-        self._system_orders.replace(image.system_orders)
+        self._orders.operators.replace(image.orders)
+        self._orders.system.replace(image.system_orders)
         self._claim_ring = image.claim_ring
         self._view = self._build_view(image.revision)
 
-    def _recall(self, command: AnyCommand) -> CommandResult | None:
-        found = self._find_order(command.order) if command.order else None
-        if found is None:
-            return None
-        if found.digest == command_digest(command):
-            return found.result
-        return CommandResult(
-            order=command.order,
-            outcome=Outcome.CONFLICT,
-            revision=found.result.revision,
-            message="this order id was used for another command; take a new one",
-            winner={"order": command.order, "revision": found.result.revision},
-        )
-
-    def _remember(self, command: AnyCommand, result: CommandResult) -> None:
-        """Keep the result. A refused step of the leader isn't kept: it may be due later (after a pause)."""
-        is_system = command.issued_by == SYSTEM_ISSUER
-        if not command.order or (is_system and result.outcome is not Outcome.ACCEPTED):
-            return
-        window = self._system_orders if is_system else self._orders
-        window.record(command.order, command_digest(command), result)
-
-    def _find_order(self, order: OrderId) -> DecidedOrder | None:
-        return self._orders.find(order) or self._system_orders.find(order)
-
     def _result(self, command: AnyCommand, index: Revision, verdict: Verdict) -> CommandResult:
         return CommandResult(
             order=command.order,
@@ -220,6 +199,8 @@
         match command:
             case ApplyConfiguration():
                 return self._apply_configuration(command, index)
+            case ApplyGateway():
+                return self._apply_gateway(command)
             case PutTenant():
                 return self._accounts.put_tenant(command)
             case RemoveTenant():
@@ -238,7 +219,7 @@
     def _decide_rollout(self, command: AnyCommand, index: Revision) -> Verdict:
         match command:
             case PromoteRollout():
-                return self._rollouts.promote(command, self._view.stable_version(command.plan.service))
+                return self._rollouts.promote(command, self._stable_for(command))
             case PauseRollout():
                 return self._rollouts.pause(command)
             case ResumeRollout():
@@ -255,9 +236,26 @@
     def _apply_configuration(self, command: ApplyConfiguration, index: Revision) -> Verdict:
         verdict = self._configuration.apply(command, index, self._rollouts.claims())
         if verdict.outcome is Outcome.ACCEPTED:
-            self._rollouts.forget_services(self._configuration.present.configuration.services)
+            self._rollouts.forget_services(self._known_services())
         return verdict
 
+    def _apply_gateway(self, command: ApplyGateway) -> Verdict:
+        verdict = self._gateway.apply(command)
+        if verdict.outcome is Outcome.ACCEPTED:
+            self._rollouts.forget_services(self._known_services())
+        return verdict
+
+    def _known_services(self) -> Set[ServiceName]:
+        chat = self._configuration.present.configuration.services
+        return chat.keys() | self._gateway.configuration.services.keys()
+
+    def _stable_for(self, command: PromoteRollout) -> VersionName | None:
+        """Return the version released before a rollout; only a gateway's service may not have one yet."""
+        service = command.plan.service
+        if service not in self._known_services():
+            return None
+        return self._view.stable_version(service) or command.stable
+
     def _set_claim_ring(self, command: SetClaimRing) -> Verdict:
         version = self._claim_ring.version if self._claim_ring is not None else 0
         if command.ring.version != version + 1:
@@ -276,4 +274,5 @@
             rollouts=self._rollouts.records,
             templates=self._templates.documents,
             claim_ring=self._claim_ring,
+            gateway=self._gateway.configuration,
         )
--- a/src/springmux/control/state_image.py
+++ b/src/springmux/control/state_image.py
@@ -41,6 +41,7 @@
     orders: tuple[DecidedOrder, ...]
     claim_ring: ClaimRing | None = None
     system_orders: tuple[DecidedOrder, ...] = ()
+    gateway_document: bytes = b""
 
 
 _encoder = msgspec.msgpack.Encoder(order="deterministic")
--- a/src/springmux/control/templates_section.py
+++ b/src/springmux/control/templates_section.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from springmux.control.commands import PutTemplate
-from springmux.control.documents import NAME_PATTERN
+from springmux.control.name_pattern import NAME_PATTERN
 from springmux.control.nesting import MAX_DEPTH, is_shallow
 from springmux.control.verdict import ACCEPTED, Verdict, invalid
 from springmux.vocabulary.errors import FieldError
--- a/src/springmux/control/view.py
+++ b/src/springmux/control/view.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from springmux.control.gateway_configuration import EMPTY_GATEWAY, GatewayConfiguration
 from springmux.coordination.claims.ring import ClaimRing
 from springmux.coordination.identifiers import Revision
 from springmux.rollout.plan import RolloutPhase, RolloutRecord
@@ -116,9 +117,13 @@
     rollouts: Mapping[ServiceName, RolloutRecord]
     templates: Mapping[str, bytes] = {}
     claim_ring: ClaimRing | None = None
+    gateway: GatewayConfiguration = EMPTY_GATEWAY
 
     def stable_version(self, service: ServiceName) -> VersionName | None:
-        """Return the released version of ``service``, or ``None`` for an unknown service."""
+        """Return the released version of ``service``, or ``None`` for an unknown service.
+
+        ``None`` also for a service of the gateway that never had a rollout: only its engines know.
+        """
         record = self.rollouts.get(service)
         if record is not None:
             return record.candidate if record.phase is RolloutPhase.DONE else record.stable
--- a/src/springmux/coordination/consensus/core.py
+++ b/src/springmux/coordination/consensus/core.py
@@ -73,6 +73,8 @@
     resend_at: float = NEVER
     acknowledged_round: int = 0
     storage_ready: bool = True
+    leaving: bool = False
+    """Its process is about to stop, or stopped so."""
     backed_off_at: float = -NEVER
     """When a refusal last ended pipelining."""
     transfer: SnapshotTransfer | None = None
@@ -140,6 +142,8 @@
         self.election_deadline = NEVER
         self.leadership: Leadership | None = None
         self.stopped = ""
+        self.leaving = False
+        """The process is about to stop."""
         self._announced: tuple[Term, ReplicaId | None, bool] = (self.term, None, False)
         self._effects: list[Effect] = []
 
@@ -190,6 +194,11 @@
         low, high = self.settings.election_timeout_min_s, self.settings.election_timeout_max_s
         self.election_deadline = self.now + self.random.uniform(low, high)
 
+    def hasten_election(self) -> None:
+        """Ask for pre-votes soon: nobody leads as far as this replica knows, and asking costs nobody."""
+        low, high = self.settings.first_election_min_s, self.settings.first_election_max_s
+        self.election_deadline = self.now + self.random.uniform(low, high)
+
     def hears_leader(self) -> bool:
         """Whether a leader is alive as far as this replica knows (Ongaro 2014, section 4.2.3)."""
         recent = self.now - self.leader_contact < self.settings.election_timeout_min_s
--- a/src/springmux/coordination/consensus/election.py
+++ b/src/springmux/coordination/consensus/election.py
@@ -40,6 +40,7 @@
         core.leader = None
         core.leader_node = None
         if self._may_stand():
+            core.hasten_election()
             self._start_pre_vote()
 
     def on_pre_vote(self, message: RaftPreVote, sender: NodeId) -> None:
--- a/src/springmux/coordination/consensus/events.py
+++ b/src/springmux/coordination/consensus/events.py
@@ -5,14 +5,23 @@
 import enum
 
 from springmux.coordination.consensus.types import GroupMember
+from springmux.coordination.identifiers import NodeId
 from springmux.coordination.kernel import Event
 
 
 class FoundingCandidates(Event, frozen=True):
-    """The controllers that membership sees now. ``established``: one of them is known to have a group."""
+    """The controllers that membership sees now. ``established``: one of them is known to have a group.
+
+    ``leader``: the node that is said to lead the group, if one is named.
+    """
 
     members: tuple[GroupMember, ...]
     established: bool
+    leader: NodeId | None = None
+
+
+class StopAnnounced(Event, frozen=True):
+    """The process is about to stop: the leader may give this replica's vote to a learner meanwhile."""
 
 
 class MemberChangeKind(enum.StrEnum):
--- a/src/springmux/coordination/consensus/following.py
+++ b/src/springmux/coordination/consensus/following.py
@@ -40,10 +40,26 @@
         self._learn_commit(message.commit)
         assert core.group is not None
         reply = RaftHeartbeatReply(
-            core.group, core.replica, message.source, core.term, message.round, core.durability.ready
+            core.group,
+            core.replica,
+            message.source,
+            core.term,
+            message.round,
+            core.durability.ready,
+            core.leaving,
         )
         core.send(sender, reply)
 
+    def on_stop_announced(self) -> None:
+        """The process is about to stop: tell the leader at once, and with each heartbeat."""
+        core = self._core
+        core.leaving = True
+        if core.group is not None and core.leader is not None and core.leader_node not in (None, core.node):
+            reply = RaftHeartbeatReply(
+                core.group, core.replica, core.leader, core.term, 0, core.durability.ready, leaving=True
+            )
+            core.send(core.leader_node, reply)
+
     def on_append(self, message: RaftAppend, sender: NodeId) -> None:
         """Append entries that follow what we have; the acknowledgement waits for the disk."""
         core = self._core
--- a/src/springmux/coordination/consensus/founding.py
+++ b/src/springmux/coordination/consensus/founding.py
@@ -4,7 +4,11 @@
 empty log asks for all), and a replica belongs to one group at most, on disk, under an identity that a
 wiped folder never takes up again. With ``controllers_expected`` = 3 any two sets of three among five
 replicas or fewer share one, so at most one of two founded groups can ever elect a leader. The short
-exclusive promise only keeps races from leaving half-founded groups; safety doesn't rest on it.
+exclusive promise only keeps races from leaving half-founded groups; safety doesn't rest on it. Nor does
+it rest on a founder that gives its attempt up for a lower-named one's: nobody but the founder could
+have completed it.
+
+A replica that isn't of the system's first start (``may_found`` unset) is never one of those counted here.
 
 A replica of a group that never elected anyone, and which never gave a vote, may give the group up: it
 restarts under a new identity, and the old group can then never have a leader. One that did give a vote
@@ -24,6 +28,7 @@
     RaftFoundingCommit,
     RaftFoundingPromise,
     RaftFoundingRefusal,
+    RaftFoundingRelease,
     RaftFoundingRequest,
     RaftFoundingUnborn,
     RaftWelcome,
@@ -56,7 +61,7 @@
         """A group exists already: ask to join it, never found another."""
         self._attempt: _Attempt | None = None
         self._initialised: set[ReplicaId] = set()
-        """Candidates that belong to a group already; an identity never leaves its group."""
+        """Candidates that belong to a group already, or may not found: neither ever changes."""
         self._gone: set[ReplicaId] = set()
         self._unborn: set[ReplicaId] = set()
         self._promised_group: GroupId | None = None
@@ -67,7 +72,7 @@
     def deadline(self) -> float:
         """Return when to try to found again, or to push on a founding that isn't complete."""
         if self._core.group is None:
-            return NEVER if self.established else self._next_try
+            return self._next_try if self._may_found() else NEVER
         if not self._leaderless():
             return NEVER
         return min(self._next_try, self._abandon_at) if self._may_give_up() else self._next_try
@@ -92,7 +97,7 @@
         """Try to found, complete what is founded, or give it up."""
         core = self._core
         if core.group is None:
-            if not self.established and core.now >= self._next_try:
+            if self._may_found() and core.now >= self._next_try:
                 self._try_to_found()
             return
         if not self._leaderless():
@@ -104,11 +109,20 @@
             self._send_commits()
 
     def on_request(self, message: RaftFoundingRequest, sender: NodeId) -> None:
-        """Promise to be part of one founding at a time, and of none beside an established group."""
+        """Promise to be part of one founding at a time, and of none beside an established group.
+
+        An own attempt yields to that of a founder with a lower name: two that wait for each other's members
+        would else wait until the promises are over.
+        """
+        core = self._core
+        if not core.settings.may_found:
+            self.refuse(message, sender)
+            return
+        if self._attempt is not None and self._attempt.group != message.group and sender < core.node:
+            self._release(self._attempt)
         if self.established or self._holds_other_promise(message.group):
             return
         self._promise(message.group)
-        core = self._core
         core.send(sender, RaftFoundingPromise(message.group, core.replica, message.source, Term(0)))
 
     def on_promise(self, message: RaftFoundingPromise) -> None:
@@ -119,11 +133,18 @@
         attempt.promised.add(message.source)
         if len(attempt.promised) == len(attempt.members.members):
             self._adopt(attempt.group, attempt.members)
+            # The founder stands first, so that the votes of all aren't split.
+            self._core.hasten_election()
             self._core.durability.after(self._send_commits)
 
+    def on_release(self, message: RaftFoundingRelease) -> None:
+        """The founder gave up: another founding may have the promise."""
+        if self._promised_group == message.group:
+            self._promised_until = -NEVER
+
     def on_commit(self, message: RaftFoundingCommit) -> None:
         """Be part of a group that everyone promised to found, unless one is established by now."""
-        if self.established:
+        if not self._may_found():
             return
         listed = message.members.find(self._core.replica) is not None
         if listed and not self._holds_other_promise(message.group):
@@ -138,7 +159,12 @@
         """Tell a founder that the addressed replica can't be part of its group."""
         core = self._core
         refusal = RaftFoundingRefusal(
-            message.group, message.target, core.replica, core.group or "", core.commit_index
+            message.group,
+            message.target,
+            core.replica,
+            core.group or "",
+            core.commit_index,
+            not core.settings.may_found,
         )
         core.send(sender, refusal)
 
@@ -146,8 +172,9 @@
         """Learn that a group exists, or that our own can't come to life."""
         core = self._core
         if core.group is None:
-            self._attempt = None
-            if message.own_group:
+            if self._attempt is not None and self._attempt.group == message.group:
+                self._release(self._attempt)
+            if message.own_group or message.joins_only:
                 self._initialised.add(message.replica)
             self.established = self.established or message.commit > 0
             return
@@ -193,6 +220,9 @@
         others = {m.replica for m in self._core.log.members.members} - {self._core.replica}
         return others <= self._gone | self._unborn
 
+    def _may_found(self) -> bool:
+        return self._core.settings.may_found and not self.established
+
     def _leaderless(self) -> bool:
         """Whether the group had no leader yet as far as this replica knows."""
         return self._core.log.last_index == 0 and self._core.leader is None
@@ -210,13 +240,16 @@
         empty = [seen[node] for node in sorted(seen) if seen[node].replica not in self._initialised]
         chosen = empty[:expected]
         if len(chosen) < expected or chosen[0].replica != core.replica:
+            if self._attempt is not None:
+                self._release(self._attempt)
             return
         members = GroupMembers(tuple(GroupMember(m.replica, m.node, voter=True) for m in chosen))
         group = GroupId(f"{core.replica}-{core.random.getrandbits(GROUP_ID_BITS):016x}")
-        if self._attempt is not None and core.now < self._attempt.expires_at:
-            if self._attempt.members == members:
+        if self._attempt is not None:
+            if self._attempt.members == members and core.now < self._attempt.expires_at:
                 self._request_promises(self._attempt)
                 return
+            # Under the same identity the promises that were given go on; it was never founded.
             group = self._attempt.group
         if self._holds_other_promise(group):
             return
@@ -234,6 +267,17 @@
                 request = RaftFoundingRequest(attempt.group, core.replica, member.replica, Term(0))
                 core.send(member.node, request)
 
+    def _release(self, attempt: _Attempt) -> None:
+        """Give an own attempt up: from here on nothing completes it."""
+        core = self._core
+        self._attempt = None
+        if self._promised_group == attempt.group:
+            self._promised_until = -NEVER
+        for member in attempt.members.members:
+            if member.replica != core.replica:
+                release = RaftFoundingRelease(attempt.group, core.replica, member.replica, Term(0))
+                core.send(member.node, release)
+
     def _send_commits(self) -> None:
         core = self._core
         if core.group is None:
--- a/src/springmux/coordination/consensus/joining.py
+++ b/src/springmux/coordination/consensus/joining.py
@@ -24,6 +24,8 @@
         self._founding = founding
         self._next_request = 0.0
         self._turn = 0
+        self.leader_node: NodeId | None = None
+        """The node that membership's messages name as the leader's."""
 
     def start(self) -> None:
         """Give the own group time to elect a leader before asking around."""
@@ -32,9 +34,9 @@
 
     def deadline(self) -> float:
         """Return when the next request is due."""
-        if self._core.leader is not None or (self._core.group is None and not self._founding.established):
-            return NEVER
-        return self._next_request
+        core = self._core
+        may_found = core.group is None and core.settings.may_found and not self._founding.established
+        return NEVER if core.leader is not None or may_found else self._next_request
 
     def on_tick(self) -> None:
         """Send the next request if nobody leads us."""
@@ -43,16 +45,23 @@
             self._wait_for_leader()
         elif core.now >= self.deadline():
             self._next_request = core.now + core.settings.join_retry_s
-            targets = self._targets()
-            if targets:
-                self._turn += 1
-                self.ask(targets[self._turn % len(targets)])
+            for node in self._asked(self._targets()):
+                self.ask(node)
 
     def ask(self, node: NodeId) -> None:
         """Ask the controller at ``node``."""
         core = self._core
         core.send(node, RaftJoinRequest(core.replica, core.node, core.group or ""))
 
+    def _asked(self, targets: list[NodeId]) -> list[NodeId]:
+        """One controller in turn, any of which forwards the request, and the leader if one is named."""
+        if not targets:
+            return []
+        self._turn += 1
+        node = targets[self._turn % len(targets)]
+        leader = self.leader_node
+        return [node] if leader in (None, node) or leader not in targets else [leader, node]
+
     def _wait_for_leader(self) -> None:
         patience = UNCALLED_TIMEOUTS * self._core.settings.election_timeout_max_s
         self._next_request = self._core.now + patience
--- a/src/springmux/coordination/consensus/membership_change.py
+++ b/src/springmux/coordination/consensus/membership_change.py
@@ -2,8 +2,9 @@
 
 A change waits until the leader has committed an entry of its own term and the change before it (the
 flaw in the original single-server change, raft-dev 2015). A lost voter is replaced by a learner that
-is caught up: first add the new voter, then remove the lost one, each only if the voters that are
-reachable now are a majority both before and after.
+is caught up: first add the new voter, then make the lost one a learner, each only if the voters that
+are reachable now are a majority both before and after. A voter whose process is stopping counts as lost
+before it is gone, so that its place is taken while it can still vote for that.
 """
 
 from __future__ import annotations
@@ -134,7 +135,9 @@
             progress
             for member in members.members
             if not member.voter and (progress := leadership.progress.get(member.replica)) is not None
-            if self._caught_up(progress) and not is_superseded(members, member)
+            if self._caught_up(progress)
+            and not progress.leaving
+            and not is_superseded(members, member)
         ]
         best = max(fit, key=lambda progress: (progress.match_index, progress.replica), default=None)
         if best is None:
@@ -145,16 +148,16 @@
     def _reduced(self, leadership: Leadership) -> GroupMembers | None:
         members = self._core.log.members
         for member in members.members:
-            if not member.voter and self._lost(member):
+            if not member.voter and self._forgotten(member):
                 return without_member(members, member.replica)
         if len(members.voters()) <= self._core.settings.voters_wished:
             return None
         lost = [voter for voter in members.voters() if self._lost(voter)]
-        if lost:
-            changed = without_member(members, lost[0].replica)
+        others = lost or [v for v in members.voters() if v.replica != self._core.replica]
+        slowest = min(others, key=lambda v: (leadership.progress[v.replica].match_index, v.replica))
+        if is_superseded(members, slowest):
+            changed = without_member(members, slowest.replica)
         else:
-            others = [v for v in members.voters() if v.replica != self._core.replica]
-            slowest = min(others, key=lambda v: (leadership.progress[v.replica].match_index, v.replica))
             changed = with_member(members, GroupMember(slowest.replica, slowest.node, voter=False))
         return changed if self._safe(changed) else None
 
@@ -164,27 +167,48 @@
         near = progress.match_index > 0 and lag <= core.settings.promotion_lag_entries
         return near and progress.storage_ready and self._replication.reachable(progress)
 
-    def _lost(self, member: GroupMember) -> bool:
+    def _lost(self, voter: GroupMember) -> bool:
+        """Whether a voter is to be replaced if there is a learner to take its place."""
         core = self._core
-        if core.leadership is None or member.replica == core.replica:
+        if core.leadership is None or voter.replica == core.replica:
             return False
-        unheard_s = core.now - core.leadership.progress[member.replica].last_heard
-        superseded = is_superseded(core.log.members, member)
-        return unheard_s >= (core.settings.superseded_after_s if superseded else core.settings.lost_after_s)
+        return core.leadership.progress[voter.replica].leaving or self._unheard(
+            core.leadership, voter, core.settings.lost_after_s
+        )
+
+    def _forgotten(self, learner: GroupMember) -> bool:
+        core = self._core
+        if core.leadership is None or learner.replica == core.replica:
+            return False
+        return self._unheard(core.leadership, learner, core.settings.learner_forgotten_after_s)
+
+    def _unheard(self, leadership: Leadership, member: GroupMember, limit_s: float) -> bool:
+        core = self._core
+        if is_superseded(core.log.members, member):
+            limit_s = core.settings.superseded_after_s
+        return core.now - leadership.progress[member.replica].last_heard >= limit_s
 
     def _safe(self, changed: GroupMembers) -> bool:
-        """Whether the reachable voters are a majority before and after the change."""
+        """Whether the reachable voters are a majority before and after the change.
+
+        For a larger group those that are about to stop don't count. A smaller one asks for less, so there
+        they do: to wait for them would only keep the group large.
+        """
         before = self._core.log.members
-        return all(self._reachable_voters(m) >= m.quorum() for m in (before, changed))
+        grows = len(changed.voters()) > len(before.voters())
+        return all(self._reachable_voters(m, staying=grows) >= m.quorum() for m in (before, changed))
 
-    def _reachable_voters(self, members: GroupMembers) -> int:
+    def _reachable_voters(self, members: GroupMembers, staying: bool) -> int:
         core = self._core
         assert core.leadership is not None
         count = 0
         for voter in members.voters():
             progress = core.leadership.progress.get(voter.replica)
             own = voter.replica == core.replica
-            count += own or (progress is not None and self._replication.reachable(progress))
+            if own:
+                count += 1
+            elif progress is not None and not (staying and progress.leaving):
+                count += self._replication.reachable(progress)
         return count
 
     def _ordered(self, event: ChangeMember) -> GroupMembers | str:
--- a/src/springmux/coordination/consensus/messages.py
+++ b/src/springmux/coordination/consensus/messages.py
@@ -77,10 +77,14 @@
 
 
 class RaftHeartbeatReply(ReplicaMessage, frozen=True):
-    """Answer to a heartbeat. ``storage_ready``: the disk neither stalls nor is full."""
+    """Answer to a heartbeat. ``storage_ready``: the disk neither stalls nor is full.
+
+    ``leaving``: the sender's process is about to stop.
+    """
 
     round: int
     storage_ready: bool = True
+    leaving: bool = False
 
 
 class RaftSnapshotChunk(ReplicaMessage, frozen=True):
@@ -116,6 +120,10 @@
     """The promise is given."""
 
 
+class RaftFoundingRelease(ReplicaMessage, frozen=True):
+    """The founder gave this founding up before it was complete: the promise needn't be kept."""
+
+
 class RaftFoundingCommit(ReplicaMessage, frozen=True):
     """Everyone promised: the group exists with these members."""
 
@@ -134,6 +142,7 @@
     """The addressed replica can't be part of ``group``: it has another identity or another group.
 
     ``own_group`` is empty for a replica without a group; ``commit`` tells how far its group is.
+    ``joins_only``: the replica may not found any group.
     """
 
     group: GroupId
@@ -141,6 +150,7 @@
     replica: ReplicaId
     own_group: str
     commit: LogIndex
+    joins_only: bool = False
 
 
 class RaftJoinRequest(PeerMessage, frozen=True):
@@ -175,6 +185,7 @@
     RaftWelcome,
     RaftFoundingRequest,
     RaftFoundingPromise,
+    RaftFoundingRelease,
     RaftFoundingCommit,
     RaftFoundingUnborn,
     RaftFoundingRefusal,
--- a/src/springmux/coordination/consensus/replica.py
+++ b/src/springmux/coordination/consensus/replica.py
@@ -25,7 +25,7 @@
     TransferLeadership,
 )
 from springmux.coordination.consensus.election import Election
-from springmux.coordination.consensus.events import ChangeMember, FoundingCandidates
+from springmux.coordination.consensus.events import ChangeMember, FoundingCandidates, StopAnnounced
 from springmux.coordination.consensus.following import Following
 from springmux.coordination.consensus.founding import Founding
 from springmux.coordination.consensus.joining import Joining
@@ -37,6 +37,7 @@
     RaftFoundingCommit,
     RaftFoundingPromise,
     RaftFoundingRefusal,
+    RaftFoundingRelease,
     RaftFoundingRequest,
     RaftFoundingUnborn,
     RaftHeartbeat,
@@ -139,6 +140,8 @@
         if not core.started:
             core.started = True
             core.reset_election_deadline()
+            if core.group is not None:
+                core.hasten_election()
             self._founding.start()
             self._joining.start()
         self._dispatch(event)
@@ -167,6 +170,9 @@
                 self._membership.on_order(event)
             case FoundingCandidates():
                 self._founding.on_candidates(event)
+                self._joining.leader_node = event.leader
+            case StopAnnounced():
+                self._following.on_stop_announced()
             case _:
                 self._dispatch_storage(event)
 
@@ -218,6 +224,8 @@
                 self._founding.on_request(message, sender)
             case RaftFoundingPromise():
                 self._founding.on_promise(message)
+            case RaftFoundingRelease():
+                self._founding.on_release(message)
             case RaftFoundingCommit():
                 self._founding.on_commit(message)
             case RaftWelcome():
--- a/src/springmux/coordination/consensus/replication.py
+++ b/src/springmux/coordination/consensus/replication.py
@@ -13,6 +13,7 @@
     RaftAppendReply,
     RaftHeartbeat,
     RaftHeartbeatReply,
+    RaftTimeoutNow,
 )
 from springmux.coordination.consensus.snapshot_transfer import SnapshotSender
 from springmux.coordination.consensus.types import Entry, EntryKind, GroupMember
@@ -67,6 +68,7 @@
             return
         if not self._hears_majority():
             core.note("leader_lost_majority", term=core.term)
+            self._call_successor(leadership)
             core.become_follower(core.term)
             return
         for progress in leadership.progress.values():
@@ -94,6 +96,7 @@
             return
         progress.acknowledged_round = max(progress.acknowledged_round, message.round)
         progress.storage_ready = message.storage_ready
+        progress.leaving = message.leaving
 
     def on_append_reply(self, message: RaftAppendReply) -> None:
         """Move a follower's window, or go back to where its log matches."""
@@ -158,6 +161,20 @@
             progress.last_heard = core.now
         return progress
 
+    def _call_successor(self, leadership: Leadership) -> None:
+        """Ask the most advanced voter to stand at once.
+
+        A leader that is heard but doesn't hear would else hold its followers for another timeout. The order
+        is one of hand-over: it counts only in this term, so one that arrives late changes nothing.
+        """
+        core = self._core
+        assert core.group is not None
+        others = {voter.replica for voter in core.log.members.voters()} - {core.replica}
+        fit = [progress for replica, progress in leadership.progress.items() if replica in others]
+        best = max(fit, key=lambda progress: (progress.match_index, progress.last_heard), default=None)
+        if best is not None:
+            core.send(best.node, RaftTimeoutNow(core.group, core.replica, best.replica, core.term))
+
     def _hears_majority(self) -> bool:
         core = self._core
         assert core.leadership is not None
--- a/src/springmux/coordination/consensus/settings.py
+++ b/src/springmux/coordination/consensus/settings.py
@@ -15,15 +15,23 @@
     """How many replicas found a group together."""
     voters_wished: int = 3
     """How many voters the leader keeps; further replicas are learners."""
+    may_found: bool = True
+    """Whether a replica without a group may help to found one. ``False``: it only ever joins."""
     heartbeat_s: float = 0.1
     election_timeout_min_s: float = 0.6
     """Also the time for which a replica that heard a leader refuses to elect another one."""
     election_timeout_max_s: float = 1.2
     """Also the time after which a leader without a majority steps down."""
+    first_election_min_s: float = 0.15
+    """A replica that heard no leader since its start asks for pre-votes after this, and again while nobody
+    answers. A pre-vote changes nothing at those who are asked, and who hears a leader refuses it."""
+    first_election_max_s: float = 0.45
     lost_after_s: float = 30.0
-    """A voter that the leader hasn't heard for so long may be replaced."""
-    superseded_after_s: float = 2.0
-    """The same for a voter whose node came back under a new identity."""
+    """A voter that the leader hasn't heard for so long may be replaced by a learner; it becomes one itself."""
+    superseded_after_s: float = 0.5
+    """The same for a voter whose node came back under a new identity: it is gone for good."""
+    learner_forgotten_after_s: float = 30.0
+    """A learner that the leader hasn't heard for so long is no member any more."""
     max_frame_bytes: int = 512 * _KIB
     """Entries in one message, except for a single larger entry."""
     max_entry_bytes: int = 12 * _MIB
@@ -49,6 +57,7 @@
     """How often a replica with a full disk tries again."""
     founding_promise_s: float = 3.0
     founding_retry_s: float = 1.0
+    """Also the time between the first sight of candidates and the first try."""
     founding_abandon_s: float = 20.0
     """A replica of a group that never elected anyone gives it up after one to two times this."""
-    join_retry_s: float = 1.0
+    join_retry_s: float = 0.3
--- a/src/springmux/coordination/consensus/transfer.py
+++ b/src/springmux/coordination/consensus/transfer.py
@@ -68,6 +68,7 @@
             for progress in leadership.progress.values()
             if progress.replica in voters
             and progress.storage_ready
+            and not progress.leaving
             and self._replication.reachable(progress)
             and target in (None, progress.replica)
         ]
--- a/src/springmux/coordination/membership/contact.py
+++ b/src/springmux/coordination/membership/contact.py
@@ -131,13 +131,20 @@
         elif isinstance(event, MessageReceived):
             effects += self._receive(event.sender, event.message, now)
         elif isinstance(event, MembershipUpdated):
-            self._known.update(event.view, now)
-            self._beacons.set_nodes({record.node: record.zone for record in event.view.present()})
-            self._known_changed()
+            effects += self._update(event, now)
         elif isinstance(event, LeaderBeacon):
             effects += self._lead(event, now)
         return effects + self._note_change(now)
 
+    def _update(self, event: MembershipUpdated, now: float) -> list[Effect]:
+        before = set(self._known.present)
+        self._known.update(event.view, now)
+        self._beacons.set_nodes({record.node: record.zone for record in event.view.present()})
+        self._known_changed()
+        # A beat at once, not in the next round: a node that starts is to be in contact soon.
+        met = [node for node in self._known.present if node not in before]
+        return self._trips.beat(met, now) if met and self._direct else []
+
     def _known_changed(self) -> None:
         self._good_until = -math.inf
         names = self._known.names()
@@ -219,7 +226,7 @@
 
     def _receive(self, sender: NodeId, message: object, now: float) -> list[Effect]:
         if isinstance(message, ContactBeat):
-            return self._take_beat(sender, message)
+            return self._take_beat(sender, message, now)
         if isinstance(message, ContactBeacon):
             return self._beacons.take(sender, message, self._trusts(now), now)
         if isinstance(message, ContactCount):
@@ -230,7 +237,9 @@
             return self._beacons.answer(sender, now)
         return []
 
-    def _take_beat(self, sender: NodeId, beat: ContactBeat) -> list[Effect]:
+    def _take_beat(self, sender: NodeId, beat: ContactBeat, now: float) -> list[Effect]:
         self._trips.take(sender, beat)
         beaten = self._direct and sender in self._known.present
-        return [] if beaten or beat.answer else [self._trips.answer(sender)]
+        # Who lacks evidence of the other gets its echo at once, and doesn't wait for the rhythm.
+        proven = self._trips.newest(sender) >= now - self._settings.evidence_s
+        return [] if (beaten and proven) or beat.answer else [self._trips.answer(sender)]
--- a/src/springmux/coordination/membership/events.py
+++ b/src/springmux/coordination/membership/events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from springmux.coordination.identifiers import NodeId
+from springmux.coordination.identifiers import Address, NodeId
 from springmux.coordination.kernel import Event
 from springmux.coordination.membership.view import MembershipView, NodeRecord
 
@@ -25,6 +25,12 @@
     record: NodeRecord
 
 
+class SeedsChanged(Event, frozen=True):
+    """The settings name other seeds (peer addresses) from now on."""
+
+    seeds: tuple[Address, ...]
+
+
 class LeaveBegun(Event, frozen=True):
     """The node stops for good; the fleet is told so that it needn't detect a failure."""
 
--- a/src/springmux/coordination/membership/part.py
+++ b/src/springmux/coordination/membership/part.py
@@ -15,7 +15,12 @@
 from springmux.coordination.membership import messages as wire
 from springmux.coordination.membership.beliefs import Beliefs
 from springmux.coordination.membership.effects import MembershipChanged, SendToAddress
-from springmux.coordination.membership.events import LeaveBegun, OwnRecordChanged, PeerUnreachable
+from springmux.coordination.membership.events import (
+    LeaveBegun,
+    OwnRecordChanged,
+    PeerUnreachable,
+    SeedsChanged,
+)
 from springmux.coordination.membership.prober import MakePing, Prober
 from springmux.coordination.membership.rumours import RumourQueue
 from springmux.coordination.membership.settings import MembershipSettings
@@ -72,6 +77,8 @@
         deadline = min(self._prober.next_deadline(), self._sync_at, self._reconnect_at, gossip_at)
         if self._must_join():
             deadline = min(deadline, self._join_at)
+        elif self._seeds:
+            deadline = min(deadline, self._seed_at)
         return min(deadline, self._beliefs.next_deadline(self._handled_at or 0.0))
 
     def handle(self, event: Event, now: float) -> list[Effect]:
@@ -85,6 +92,8 @@
             self._prober.bring_forward(event.node, now)
         elif isinstance(event, OwnRecordChanged):
             self._beliefs.replace_own(event.record, self._beliefs.own.incarnation + 1, now)
+        elif isinstance(event, SeedsChanged):
+            self._take_seeds(event.seeds, now)
         elif isinstance(event, LeaveBegun):
             effects += self._leave(now)
         if self._table.changed:
@@ -120,6 +129,7 @@
             effects += self._beliefs.decide_suspicions(now)
             effects += self._join(now)
             effects += self._synchronize(present, now)
+            effects += self._ask_absent_seed(present, now)
             effects += self._reconnect(now)
         effects += self._gossip(present, now)
         return effects
@@ -151,6 +161,13 @@
         message = wire.MemberJoin(self._beliefs.own)
         return [SendToAddress(address=seed, message=message) for seed in self._seeds]
 
+    def _take_seeds(self, seeds: tuple[Address, ...], now: float) -> None:
+        """Ask the new ones soon, also where this node has met others: it may be in the smaller part."""
+        self._seeds = tuple(seed for seed in seeds if seed != self._beliefs.own.peer_address)
+        self._join_at = now
+        self._seed_at = now
+        self._sync_at = now
+
     def _synchronize(self, present: tuple[NodeId, ...], now: float) -> list[Effect]:
         if now < self._sync_at:
             return []
@@ -158,20 +175,19 @@
         self._table.forget_old(now)
         if not present:
             return []
-        digest = Send(to=self._random.choice(present), message=wire.MemberDigest(self._table.digest()))
-        return [digest, *self._ask_absent_seed(now)]
+        return [Send(to=self._random.choice(present), message=wire.MemberDigest(self._table.digest()))]
 
-    def _ask_absent_seed(self, now: float) -> list[Effect]:
+    def _ask_absent_seed(self, present: tuple[NodeId, ...], now: float) -> list[Effect]:
         """Ask a seed that isn't present to take this node in.
 
         Parts of a fleet that were cut apart for longer than ``forget_dead_s`` know nothing of each other
         any more; only the seeds' addresses are left to find the others by.
         """
-        if now < self._seed_at:
+        if now < self._seed_at or not self._seeds or not present:
             return []
-        self._seed_at = now + self._settings.seed_period_s
-        present = {record.peer_address for record in self._table.records() if record.status in PRESENT}
-        absent = [seed for seed in self._seeds if seed not in present]
+        self._seed_at = now + self._settings.seed_period_s * self._random.uniform(0.8, 1.2)
+        met = {record.peer_address for record in self._table.records() if record.status in PRESENT}
+        absent = [seed for seed in self._seeds if seed not in met]
         if not absent:
             return []
         self._seed_turn += 1
--- a/src/springmux/coordination/retry_budget.py
+++ b/src/springmux/coordination/retry_budget.py
@@ -57,6 +57,10 @@
         self._retries = 0
         self._taken: deque[TakenRetry] = deque()
 
+    def set_floor(self, floor: int) -> None:
+        """Use another floor from now on, as where it is a fleet's floor spread over a changing fleet."""
+        self._floor = floor
+
     def note_request(self, now: float) -> None:
         """Count a first attempt; ``now`` is monotonic and kept only by the retries after it."""
         self._requests += 1
--- /dev/null
+++ b/src/springmux/gateway/placement.py
@@ -0,0 +1,302 @@
+"""Choice of the engine for a forwarded request at one of many nodes that don't see each other's load.
+
+Long shared prefixes go to the same engine at every node by weighted rendezvous hash, over as many engines as
+the prefix's load needs, and past an engine that holds clearly more of this node's work (bounded load:
+Mirrokni, Thorup and Zadimoghaddam 2018). Other requests go where this node expects the least wait. Nothing
+here does I/O or reads a clock.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Collection, Mapping
+
+from springmux.control.gateway_configuration import GatewayService
+from springmux.gateway.engine_health import ExchangeOutcome
+from springmux.gateway.engine_pool import EngineGroup, EngineSlot, EngineTable, ServicePool
+from springmux.gateway.load_estimate import REQUEST_TOKENS, model_cost, plain_cost
+from springmux.gateway.placement_tickets import ExchangeLedger, Ticket
+from springmux.gateway.prefix_memory import PrefixMemory
+from springmux.gateway.prompt_facts import NO_FACTS, PromptFacts
+from springmux.vocabulary.engines import EngineRecord, EnginesView
+from springmux.vocabulary.names import EngineId, ServiceName, VersionName
+
+__all__ = ["NO_FACTS", "ExchangeOutcome", "Placement", "PromptFacts", "Ticket"]
+
+FALLBACKS = 2
+"""Engines beyond a prefix's own that it may go to: the second and the third of its order."""
+EXCESS_FACTOR = 1.5
+"""An engine may hold this much more than its share of this node's requests without a cost."""
+LEAST_EXCESS = 3.0
+"""Fewer requests of one node on an engine are chance."""
+EXCESS_TOKENS = 2000.0
+"""Cost of each request above: seven of them outweigh a cold prefix of 13,300 tokens."""
+COLD_FALLBACK_COST = 8.0
+"""Cost of a prefix that a further engine would have to read, in readings: one now, others' wait behind it, and
+the prefixes that it drives out of that engine's cache. Measured on the users' bench: with 1 a quarter of all
+prompt tokens were shared parts read again, with 8 half of that, and more prompts were in time."""
+CALM_LOAD = 0.25
+"""Load of a plain service below which the own zone decides between equals. Above it every node's leaning to
+its zone could overload that zone's engines unseen."""
+
+
+class Placement:
+    """Chooses engines and takes what became of the exchanges. ``source`` breaks ties between nodes."""
+
+    def __init__(self, zone: str, source: random.Random) -> None:
+        self._zone = zone
+        self._random = source
+        self._table = EngineTable()
+        self._memory = PrefixMemory()
+        self._ledger = ExchangeLedger(self._table, self._memory)
+        self._reported: list[EngineSlot] = []
+
+    def update_engines(self, view: EnginesView, now: float) -> None:
+        """Take the directory; engines that are not ready get nothing from now on."""
+        self._table.update(view)
+
+    def update_services(self, services: Mapping[ServiceName, GatewayService]) -> None:
+        """Take the configured services; those with an ``engine`` shape run models."""
+        self._ledger.models = frozenset(name for name, service in services.items() if service.engine)
+
+    def set_fleet_size(self, nodes: int) -> None:
+        """Take the number of nodes that requests are spread over."""
+        self._memory.fleet_size = max(1, nodes)
+
+    def report_others(self, loads: Mapping[EngineId, tuple[float, float]]) -> None:
+        """Take other nodes' load on each engine (requests, prompt tokens without a first event)."""
+        for slot in self._reported:
+            slot.other_requests = slot.other_tokens = 0.0
+        self._reported = [self._table.slots[engine] for engine in loads if engine in self._table.slots]
+        for slot in self._reported:
+            slot.other_requests, slot.other_tokens = loads[slot.record.engine]
+
+    def own_loads(self) -> list[tuple[EngineId, int, float]]:
+        """Return for each engine this node's requests and the prompt tokens that have no first event yet."""
+        slots = self._table.slots
+        return [(engine, slot.in_flight, slot.prefill_tokens) for engine, slot in slots.items()]
+
+    def versions(self, service: ServiceName) -> frozenset[VersionName]:
+        """Return the versions of the service's engines that haven't left."""
+        pool = self._table.pool(service)
+        return pool.versions if pool is not None else frozenset()
+
+    def free_places(self, service: ServiceName, versions: tuple[VersionName, ...], now: float) -> int:
+        """Return how many more requests the usable engines take, as far as this node knows."""
+        pool = self._table.pool(service)
+        if pool is None:
+            return 0
+        pool.refresh(now)
+        free = 0.0
+        for group in pool.groups(versions, 0):
+            for slot in group.slots:
+                if slot.health.closed_until <= now:
+                    free += max(0.0, slot.record.capacity - slot.in_flight - slot.other_requests)
+        return int(free)
+
+    def choose(
+        self,
+        service: ServiceName,
+        versions: tuple[VersionName, ...],
+        facts: PromptFacts,
+        excluded: Collection[EngineId],
+        now: float,
+        engines_limit: int = 0,
+        trial_allowed: bool = False,
+    ) -> EngineRecord | None:
+        """Return the engine to send to, or ``None`` if there is none that isn't excluded.
+
+        The first of ``versions`` (none: any) with a usable engine counts; ``engines_limit`` (0: none) holds
+        for the first version. Suspect and lost engines are a last resort. ``trial_allowed``: the request may
+        be the trial of an engine that is out, since it may be repeated.
+        """
+        pool = self._table.pool(service)
+        if pool is None:
+            return None
+        pool.refresh(now)
+        groups = pool.groups(versions, engines_limit)
+        if pool.troubled and not excluded:
+            trial = _due_trial(groups, now, trial_allowed)
+            if trial is not None:
+                return trial.record
+        for group in groups:
+            slot = self._usable(pool, group, service, facts, excluded, now)
+            if slot is not None:
+                return slot.record
+        return _last_resort(pool, groups, versions, excluded, now)
+
+    def began(self, record: EngineRecord, facts: PromptFacts, now: float) -> Ticket:
+        """Count a request that is sent to ``record``; give the ticket back to :meth:`ended`."""
+        return self._ledger.began(record, facts, now)
+
+    def first_event(self, ticket: Ticket, now: float) -> None:
+        """Take the first byte of an answer's body: the prefill is over."""
+        self._ledger.first_event(ticket, now)
+
+    def heard(self, ticket: Ticket, now: float) -> None:
+        """Take any further piece of an answer: the engine is alive."""
+        ticket.slot.health.heard(now)
+
+    def silent_since(self, ticket: Ticket, since: float) -> bool:
+        """Say whether the ticket's engine has sent this node nothing after ``since``."""
+        return ticket.slot.health.heard_at <= since
+
+    def ended(self, ticket: Ticket, outcome: ExchangeOutcome, now: float) -> None:
+        """Take the end of an exchange, once."""
+        self._ledger.ended(ticket, outcome, now)
+
+    def _usable(
+        self,
+        pool: ServicePool,
+        group: EngineGroup,
+        service: ServiceName,
+        facts: PromptFacts,
+        excluded: Collection[EngineId],
+        now: float,
+    ) -> EngineSlot | None:
+        slot: EngineSlot | None
+        if not self._ledger.is_model(service, facts):
+            slot = self._least_loaded(pool, group, excluded, now)
+        else:
+            prefix_id, prefix_tokens = facts.long_prefix()
+            slot = None
+            if prefix_tokens:
+                slot = self._by_prefix(group, prefix_id, prefix_tokens, facts, excluded, now)
+            if slot is None:
+                slot = self._least_wait(group, facts, excluded, now)
+        return slot or _sound_but_closed(group, excluded, now)
+
+    def _by_prefix(
+        self,
+        group: EngineGroup,
+        prefix_id: str,
+        prefix_tokens: int,
+        facts: PromptFacts,
+        excluded: Collection[EngineId],
+        now: float,
+    ) -> EngineSlot | None:
+        """Return the cheapest of the prefix's engines; the further ones pay for a cold cache."""
+        count = len(group.slots)
+        if not count:
+            return None
+        own_tokens = facts.prompt_tokens - prefix_tokens
+        spread = self._memory.spread(prefix_id, own_tokens, group.slots[0].record.capacity, now)
+        share = sum(slot.in_flight for slot in group.slots) / count
+        bound = max(LEAST_EXCESS, EXCESS_FACTOR * share)
+        best: EngineSlot | None = None
+        best_cost = math.inf
+        rank = 0
+        for slot, gate in group.order(prefix_id):
+            if rank >= spread + FALLBACKS:
+                break
+            if slot.health.closed_until > now or slot.record.engine in excluded or self._skips(slot, gate):
+                continue
+            cost = model_cost(slot, now) + max(0.0, slot.in_flight - bound) * EXCESS_TOKENS
+            if rank >= spread:
+                cost += REQUEST_TOKENS
+                if not self._memory.warm(prefix_id, slot, now):
+                    cost += COLD_FALLBACK_COST * prefix_tokens
+            if cost < best_cost or (cost == best_cost and best and slot.sent_at < best.sent_at):
+                best, best_cost = slot, cost
+            rank += 1
+        return best
+
+    def _least_wait(
+        self, group: EngineGroup, facts: PromptFacts, excluded: Collection[EngineId], now: float
+    ) -> EngineSlot | None:
+        """Return the engine with the least work ahead, the one that the session used last preferred."""
+        holder, kept_tokens = self._holder(facts)
+        count = len(group.slots)
+        best: EngineSlot | None = None
+        best_cost = math.inf
+        for slot in self._from_anywhere(group.slots):
+            if slot.health.closed_until > now or slot.record.engine in excluded or slot.rests(count):
+                continue
+            cost = model_cost(slot, now)
+            if slot is holder:
+                cost -= kept_tokens
+            if cost < best_cost or (cost == best_cost and best and slot.sent_at < best.sent_at):
+                best, best_cost = slot, cost
+        return best
+
+    def _least_loaded(
+        self, pool: ServicePool, group: EngineGroup, excluded: Collection[EngineId], now: float
+    ) -> EngineSlot | None:
+        """Return the plain back end with the most room, at a tie the least recently used."""
+        calm = pool.mean_in_flight * self._memory.fleet_size < CALM_LOAD * pool.capacity
+        best: EngineSlot | None = None
+        best_key = (math.inf, False, math.inf)
+        count = len(group.slots)
+        for slot in self._from_anywhere(group.slots):
+            if slot.health.closed_until > now or slot.record.engine in excluded or slot.rests(count):
+                continue
+            key = (plain_cost(slot), calm and slot.record.zone != self._zone, slot.sent_at)
+            if key < best_key:
+                best, best_key = slot, key
+        return best
+
+    def _holder(self, facts: PromptFacts) -> tuple[EngineSlot | None, float]:
+        """Return where this session's parts were sent last and how many tokens they hold."""
+        if not facts.prefix:
+            return None, 0.0
+        holder = self._memory.holder(facts.prefix[-1][0])
+        if holder is not None:
+            return holder, float(sum(tokens for _, tokens in facts.prefix))
+        if len(facts.prefix) < 2:
+            return None, 0.0
+        return self._memory.holder(facts.prefix[-2][0]), float(sum(tokens for _, tokens in facts.prefix[:-1]))
+
+    def _skips(self, slot: EngineSlot, gate: float) -> bool:
+        """Say whether a cold or slow engine leaves this prefix or request to the next of the order."""
+        if slot.ramp < 1.0 and gate >= slot.ramp:
+            return True
+        return slot.health.share < 1.0 and self._random.random() >= slot.health.share
+
+    def _from_anywhere(self, slots: list[EngineSlot]) -> list[EngineSlot]:
+        start = int(self._random.random() * len(slots))
+        return slots[start:] + slots[:start]
+
+
+def _due_trial(groups: list[EngineGroup], now: float, trial_allowed: bool) -> EngineSlot | None:
+    """Return an engine of the first version whose trial is due."""
+    for group in groups[:1]:
+        for slot in group.slots:
+            health = slot.health
+            if (health.suspect or health.held_out) and health.trial_open(now, trial_allowed):
+                return slot
+    return None
+
+
+def _sound_but_closed(group: EngineGroup, excluded: Collection[EngineId], now: float) -> EngineSlot | None:
+    """Return an engine that is full, held out, cold or slow, if no better one is left."""
+    left = [
+        slot
+        for slot in group.slots
+        if not (slot.health.suspect or slot.health.stale(now) or slot.record.engine in excluded)
+    ]
+    return min(
+        left,
+        key=lambda slot: (slot.health.held_out, max(now, slot.health.full_until), slot.in_flight),
+        default=None,
+    )
+
+
+def _last_resort(
+    pool: ServicePool,
+    groups: list[EngineGroup],
+    versions: tuple[VersionName, ...],
+    excluded: Collection[EngineId],
+    now: float,
+) -> EngineRecord | None:
+    for group in groups:
+        suspects = [
+            slot for slot in group.slots if slot.record.engine not in excluded and not slot.health.stale(now)
+        ]
+        if suspects:
+            return min(suspects, key=lambda slot: slot.health.suspect_until).record
+    lost = [slot for slot in pool.lost if slot.record.engine not in excluded and not slot.health.stale(now)]
+    if versions:
+        lost = [slot for slot in lost if slot.record.version in versions]
+        lost.sort(key=lambda slot: versions.index(slot.record.version))
+    return lost[0].record if lost else None
--- /dev/null
+++ b/src/springmux/gateway/placement_tickets.py
@@ -0,0 +1,136 @@
+"""Accounts of the exchanges under way: what each holds on its engine, and what its end tells."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from springmux.gateway.engine_health import SILENCE_S, ExchangeOutcome
+from springmux.gateway.engine_pool import EngineSlot, EngineTable, ServicePool
+from springmux.gateway.prefix_memory import PREFILL_TOKENS_PER_S, PrefixMemory
+from springmux.gateway.prompt_facts import PromptFacts
+from springmux.vocabulary.engines import EngineRecord
+from springmux.vocabulary.names import ServiceName
+
+BASE_TOKENS = 1000.0
+"""An idle engine's time to a first event beyond the prefill, as tokens: 20 ms, some steps and the network."""
+MOST_GUESSED_TOKENS = 20_000.0
+"""About one long cold prompt."""
+
+
+@dataclass(eq=False, slots=True)
+class Ticket:
+    """One exchange under way. ``expected_tokens``: prompt tokens to prefill before its first event;
+    ``ahead_tokens``: those of this node that lay before them."""
+
+    slot: EngineSlot
+    model: bool
+    trial: bool
+    began_at: float
+    expected_tokens: float
+    ahead_tokens: float
+    long_prefix: bool
+    prefilling: bool = True
+    open: bool = True
+
+    @property
+    def record(self) -> EngineRecord:
+        """The engine as known when this is read."""
+        return self.slot.record
+
+
+class ExchangeLedger:
+    """Keeps the slots' counts and feeds health, pace and memory. ``models``: services with model engines."""
+
+    def __init__(self, table: EngineTable, memory: PrefixMemory) -> None:
+        self.models: frozenset[ServiceName] = frozenset()
+        self._table = table
+        self._memory = memory
+
+    def is_model(self, service: ServiceName, facts: PromptFacts) -> bool:
+        """Say whether the request goes to a model engine."""
+        return service in self.models or facts.prompt_tokens > 0
+
+    def began(self, record: EngineRecord, facts: PromptFacts, now: float) -> Ticket:
+        """Count a request. An engine that has just gone is counted apart."""
+        slot = self._table.slots.get(record.engine) or EngineSlot(record, now)
+        model = self.is_model(record.service, facts)
+        prefix_id, prefix_tokens = facts.long_prefix()
+        expected = float(facts.prompt_tokens)
+        if prefix_tokens and self._memory.warm(prefix_id, slot, now):
+            expected -= prefix_tokens
+        ticket = Ticket(
+            slot=slot,
+            model=model,
+            trial=slot.health.began(now),
+            began_at=now,
+            expected_tokens=expected,
+            ahead_tokens=slot.prefill_tokens if model else BASE_TOKENS * slot.in_flight / record.capacity,
+            long_prefix=prefix_tokens > 0,
+        )
+        slot.in_flight += 1
+        slot.prefill_tokens += expected
+        slot.sent_at = now
+        slot.passed = 0
+        if prefix_tokens:
+            self._memory.note_sent(prefix_id, slot, now)
+        for part_id, _ in facts.prefix[-2:]:
+            self._memory.note_part(part_id, slot)
+        pool = self._table.pool(record.service)
+        if pool is not None:
+            pool.note_in_flight()
+        return ticket
+
+    def first_event(self, ticket: Ticket, now: float) -> None:
+        """Take the end of a prefill."""
+        if not ticket.prefilling:
+            return
+        slot = ticket.slot
+        waited_s = now - ticket.began_at
+        self._prefill_over(ticket)
+        slot.health.heard(now)
+        slot.health.pace(waited_s, ticket.expected_tokens + ticket.ahead_tokens + BASE_TOKENS, now)
+        if ticket.model:
+            unseen = waited_s * PREFILL_TOKENS_PER_S - ticket.expected_tokens - BASE_TOKENS
+            slot.guessed_tokens = min(MOST_GUESSED_TOKENS, max(0.0, unseen))
+            slot.guessed_at = now
+
+    def ended(self, ticket: Ticket, outcome: ExchangeOutcome, now: float) -> None:
+        """Take an exchange's end; a second call changes nothing."""
+        if not ticket.open:
+            return
+        ticket.open = False
+        slot = ticket.slot
+        if outcome is ExchangeOutcome.OK:
+            self.first_event(ticket, now)
+            if ticket.long_prefix:
+                self._memory.note_hold(now - ticket.began_at)
+        if ticket.prefilling and outcome is ExchangeOutcome.TIMED_OUT:
+            tokens = ticket.expected_tokens + ticket.ahead_tokens + BASE_TOKENS
+            slot.health.pace(now - ticket.began_at, tokens, now)
+        self._prefill_over(ticket)
+        slot.in_flight -= 1
+        slot.health.ended(outcome, ticket.trial, ticket.began_at, now)
+        pool = self._table.pool(slot.record.service)
+        if pool is None:
+            return
+        dark = (ticket.trial and slot.health.suspect) or _alone_in_silence(pool, slot, ticket.began_at, now)
+        if outcome is ExchangeOutcome.TIMED_OUT and dark:
+            slot.health.suspect_dark(ticket.began_at, now)
+        if outcome is not ExchangeOutcome.OK:
+            pool.refresh_soon()
+
+    def _prefill_over(self, ticket: Ticket) -> None:
+        if ticket.prefilling:
+            ticket.prefilling = False
+            ticket.slot.prefill_tokens -= ticket.expected_tokens
+
+
+def _alone_in_silence(pool: ServicePool, slot: EngineSlot, began_at: float, now: float) -> bool:
+    """Say whether this engine has been silent while another one of its service answered."""
+    own = slot.health.heard_at
+    if own > now - SILENCE_S:
+        return False
+    since = max(own, began_at)
+    others = (other.health.heard_at for other in pool.ready.slots if other is not slot)
+    return max(others, default=-math.inf) > since
--- /dev/null
+++ b/src/springmux/gateway/routing.py
@@ -0,0 +1,72 @@
+"""Which route and which tenant a request belongs to, by the newest configuration known."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from springmux.control.gateway_configuration import GatewayConfiguration, GatewayRoute, GatewayTenant
+
+
+class NoSuchRoute(Exception):
+    """No route of that host begins the path: answer 404."""
+
+
+class KeyRefused(Exception):
+    """The route needs a key, and there is none or it is unknown: answer 401."""
+
+
+class Admitted(msgspec.Struct, frozen=True):
+    """A request's route and tenant. ``tenant`` is ``None`` on public routes without a known key."""
+
+    route: GatewayRoute
+    tenant: GatewayTenant | None
+
+
+class RouteTable:
+    """Lookup tables of one configuration. Made once for each version; a lookup costs a few dictionary reads."""
+
+    def __init__(self, configuration: GatewayConfiguration) -> None:
+        self.configuration = configuration
+        self._routes = {(route.host, route.path_prefix): route for route in configuration.routes}
+
+    def admit(self, host: str, path: str, key: str | None) -> Admitted:
+        """Return the route and tenant of a request.
+
+        :param host: value of the Host header, with or without a port.
+        :param path: path without its query.
+        :raises NoSuchRoute, KeyRefused: what the caller is told.
+        """
+        route = self._find(host, path)
+        if route is None:
+            raise NoSuchRoute(path)
+        tenant = self._tenant(key)
+        if tenant is None and self.configuration.requires_key and not route.public:
+            raise KeyRefused(route.name)
+        return Admitted(route, tenant)
+
+    def _find(self, host: str, path: str) -> GatewayRoute | None:
+        """Return the route with the longest prefix. Prefixes end with a slash, so only those are tried."""
+        plain_host = _without_port(host)
+        end = path.rfind("/") + 1
+        while end > 0:
+            found = self._routes.get((plain_host, path[:end]))
+            if found is not None:
+                return found
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+    def _tenant(self, key: str | None) -> GatewayTenant | None:
+        if key is None:
+            return None
+        name = self.configuration.key_tenants.get(key)
+        tenants: Mapping[str, GatewayTenant] = self.configuration.tenants  # type: ignore[assignment]
+        return tenants.get(name) if name is not None else None
+
+
+def _without_port(host: str) -> str:
+    lowered = host.strip().lower()
+    if lowered.startswith("["):
+        return lowered.partition("]")[0] + "]"
+    return lowered.partition(":")[0]
--- /dev/null
+++ b/src/springmux/gateway/versions.py
@@ -0,0 +1,71 @@
+"""Which engine version, then which engine, one forwarded request goes to; kept over its attempts."""
+
+from __future__ import annotations
+
+from springmux.gateway.placement import Placement, PromptFacts
+from springmux.rollout.outcome import VersionChooser
+from springmux.vocabulary.engines import EngineRecord
+from springmux.vocabulary.names import EngineId, ServiceName
+
+
+class VersionSelection:
+    """Asks the version filter once a request. A candidate's credit pays for one sent attempt.
+
+    A credit that was not used for a sent attempt is given back, and a retry after a sent one goes to the
+    released version.
+    """
+
+    __slots__ = ("_chooser", "_credit", "_engines_limit", "_prefix_key", "_versions", "excluded", "service")
+
+    def __init__(self, chooser: VersionChooser, service: ServiceName, prefix_key: int, now: float) -> None:
+        choice = chooser.choose(service, prefix_key, now)
+        self.service = service
+        self.excluded: set[EngineId] = set()
+        self._chooser = chooser
+        self._prefix_key = prefix_key
+        self._versions = choice.versions
+        self._credit = choice.candidate
+        self._engines_limit = choice.engines_limit
+
+    def next_engine(self, placement: Placement, facts: PromptFacts, now: float) -> EngineRecord | None:
+        """Return where the next attempt goes, checked at this very moment, or ``None``."""
+        if not self._versions and self.excluded:
+            self._ask_again(now)
+        if not self._versions:
+            return placement.choose(self.service, (), facts, self.excluded, now)
+        for version in self._versions:
+            is_candidate = self._credit and version == self._versions[0]
+            if self._chooser.recheck(self.service, version, now):
+                limit = self._engines_limit if is_candidate else 0
+                found = placement.choose(self.service, (version,), facts, self.excluded, now, limit)
+                if found is not None:
+                    return found
+            if is_candidate:
+                self.give_back(now)
+                self._versions = self._versions[1:]
+                return self.next_engine(placement, facts, now)
+        return None
+
+    def _ask_again(self, now: float) -> None:
+        """Take a rollout into account that began since the first attempt: a retry goes to the release."""
+        choice = self._chooser.choose(self.service, self._prefix_key, now)
+        self._versions = choice.versions[1:] if choice.candidate else choice.versions
+        if choice.candidate:
+            self._chooser.give_back(self.service, choice.versions[0], now)
+
+    def sent(self, record: EngineRecord) -> None:
+        """Note that an attempt was written to an engine: the credit is spent."""
+        self.excluded.add(record.engine)
+        if self._credit:
+            self._credit = False
+            self._versions = self._versions[1:] or self._versions
+
+    def not_sent(self, record: EngineRecord) -> None:
+        """Note that nothing reached an engine; another one is chosen next."""
+        self.excluded.add(record.engine)
+
+    def give_back(self, now: float) -> None:
+        """Return a credit that no sent attempt used."""
+        if self._credit:
+            self._credit = False
+            self._chooser.give_back(self.service, self._versions[0], now)
--- a/src/springmux/node/admin_control.py
+++ b/src/springmux/node/admin_control.py
@@ -17,7 +17,7 @@
     decode_document,
     parse_configuration,
 )
-from springmux.control.documents import NAME_PATTERN
+from springmux.control.name_pattern import NAME_PATTERN
 from springmux.control.state import ControlState
 from springmux.control.view import ControlView, Tenant
 from springmux.node.admin_errors import bad_field, decode_failure, invalid
--- a/src/springmux/node/admin_engines.py
+++ b/src/springmux/node/admin_engines.py
@@ -13,9 +13,10 @@
 from springmux.agent.events import EngineAnnounced, EngineDraining, EngineHeartbeat, EngineLeft
 from springmux.coordination.identifiers import Address, ZoneName
 from springmux.coordination.kernel import Event
+from springmux.node.addresses import check_address
 from springmux.node.admin_errors import bad_field, decode_failure
 from springmux.node.health import NodeHealth
-from springmux.node.settings import NAME_PATTERN, check_address
+from springmux.node.settings import NAME_PATTERN
 from springmux.vocabulary.engines import EngineLoad, EngineRecord, EngineStatus, EnginesView
 from springmux.vocabulary.errors import ApiErrorRaised
 from springmux.vocabulary.names import EngineId, ServiceName, VersionName
--- a/src/springmux/node/admin_listener.py
+++ b/src/springmux/node/admin_listener.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from springmux.node.addresses import split_address
 from springmux.node.admin_control import ControlAgent, ControlEndpoints
 from springmux.node.admin_engines import EngineEndpoints
 from springmux.node.admin_errors import error_middleware
@@ -20,7 +21,7 @@
 from springmux.node.metrics import NodeMetrics
 from springmux.node.rollout_history import RolloutHistory
 from springmux.node.service_rates import ServiceRates
-from springmux.node.settings import NodeSettings, split_address
+from springmux.node.settings import NodeSettings
 
 BODY_MARGIN_BYTES = 64 << 10
 """Bodies a little over the configuration's limit are read, so that the answer can name the limit."""
--- a/src/springmux/node/client_listener.py
+++ b/src/springmux/node/client_listener.py
@@ -10,12 +10,13 @@
 from aiohttp import HttpVersion11, web
 
 from springmux.coordination.kernel import Tick
+from springmux.node.addresses import split_address
 from springmux.node.answer_writer import AnswerWriter
 from springmux.node.answers import JSON_TYPE, refusal
 from springmux.node.client_protocol import ClientProtocol
 from springmux.node.health import HEALTH_BODY, HEALTH_PATH, READY_PATH, NodeHealth
 from springmux.node.request_runner import RequestRunner, RunnerServices
-from springmux.node.settings import NodeSettings, split_address
+from springmux.node.settings import NodeSettings
 from springmux.router.events import CallerRequest, KeyRevoked, StopRequested
 from springmux.vocabulary.errors import ApiError, ApiErrorRaised, ErrorCode
 from springmux.vocabulary.names import RequestId
--- a/src/springmux/node/engine_prober.py
+++ b/src/springmux/node/engine_prober.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Protocol
 
-from springmux.node.settings import split_address
+from springmux.node.addresses import split_address
 from springmux.vocabulary.engines import EngineRecord
 
 DELAY_S = 0.05
--- /dev/null
+++ b/src/springmux/node/gateway/attempt.py
@@ -0,0 +1,266 @@
+"""One attempt of a forwarded request at one engine: send, judge the answer, pass it on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from springmux.control.gateway_configuration import GatewayRouteKind
+from springmux.gateway.attempts import AttemptEnd
+from springmux.gateway.event_stream import StreamFault
+from springmux.gateway.patience import Patience
+from springmux.gateway.placement import ExchangeOutcome
+from springmux.gateway.versions import VersionSelection
+from springmux.node.gateway.evidence import AttemptEvidence
+from springmux.node.gateway.silence_watch import SilenceWatch
+from springmux.node.http.types import (
+    AnswerHead,
+    ClientGone,
+    EngineExchange,
+    ExchangeFailed,
+    FailureKind,
+)
+from springmux.rollout.outcome import Ending
+from springmux.vocabulary.engines import EngineRecord
+
+if TYPE_CHECKING:
+    from springmux.node.gateway.forwarding import ForwardedRequest
+
+CONNECT_TIMEOUT_S = 0.4
+"""Several round trips within a region, and less than the second after which a lost opening packet is resent."""
+WHOLE_ANSWER_BYTES = 1 << 20
+"""Up to this size an answer that is no stream is read whole before the caller gets any of it."""
+
+_OUTCOMES = {
+    FailureKind.CONNECT: ExchangeOutcome.CONNECT_FAILED,
+    FailureKind.NOT_SENT: ExchangeOutcome.CONNECT_FAILED,
+    FailureKind.RESET: ExchangeOutcome.RESET,
+    FailureKind.SILENT: ExchangeOutcome.SILENT,
+    FailureKind.MALFORMED: ExchangeOutcome.GARBLED,
+    FailureKind.CUT_SHORT: ExchangeOutcome.CUT_SHORT,
+}
+_ENDINGS = {
+    FailureKind.MALFORMED: Ending.BROKEN,
+    FailureKind.CUT_SHORT: Ending.BROKEN,
+}
+_UNSENT = frozenset({FailureKind.CONNECT, FailureKind.NOT_SENT})
+
+
+class AttemptResult(msgspec.Struct):
+    """How an attempt ended. ``end`` is ``None`` once the caller has an answer.
+
+    ``pass_on``: gives the caller the engine's own failure, if no other engine is tried.
+    """
+
+    end: AttemptEnd | None
+    pass_on: Callable[[], None] | None = None
+
+
+class Attempt:
+    """Sends the request once."""
+
+    def __init__(self, request: ForwardedRequest, record: EngineRecord, selection: VersionSelection) -> None:
+        self._request = request
+        self._record = record
+        self._selection = selection
+        self._services = request.services
+        self._loop = asyncio.get_running_loop()
+        self._placement = request.services.core.placement
+        self._ticket = self._placement.began(record, request.facts, self._loop.time())
+        self._evidence = AttemptEvidence(request, record, self._loop.time())
+        self._outcome = ExchangeOutcome.ABANDONED
+        self._ending: Ending | None = Ending.CALLER_GONE
+        self._upstream: EngineExchange | None = None
+        self._watch = self._make_watch()
+
+    async def run(self) -> AttemptResult:
+        """Carry the attempt out. Whatever happens, the engine's place is given back and its answer judged."""
+        try:
+            return await self._run()
+        except ExchangeFailed as failure:
+            return self._failed(failure.kind)
+        except StreamFault:
+            return self._failed(FailureKind.MALFORMED)
+        except asyncio.CancelledError:
+            if self._watch is None or not self._watch.expired:
+                self._note_late()
+                raise
+            return self._gave_up()
+        finally:
+            self._settle()
+
+    async def _run(self) -> AttemptResult:
+        request = self._request
+        now = self._loop.time()
+        events = request.events
+        resumed_from = events.last_event_id if events is not None and events.events else None
+        head = self._services.headers.request_for(
+            request.exchange.head,
+            self._record,
+            request.tenant.name if request.tenant is not None else None,
+            request.priority,
+            request.deadline - now,
+            resumed_from,
+        )
+        upstream = await self._services.client.send(
+            self._record.address, head, request.body, CONNECT_TIMEOUT_S, self._is_ours
+        )
+        self._upstream = upstream
+        self._selection.sent(self._record)
+        answer = await upstream.head()
+        if self._services.headers.declined(answer):
+            return await self._declined(upstream, answer)
+        if 200 <= answer.status < 300 and request.route.kind is GatewayRouteKind.STREAM:
+            return await self._relay_stream(upstream, answer)
+        return await self._relay_whole(upstream, answer)
+
+    def _is_ours(self, answer: AnswerHead) -> bool:
+        """Say whether an answer echoes this request's id; one without an id is taken as ours."""
+        name = self._services.headers.names.request_id
+        echoed = answer.header(name)
+        return echoed is None or echoed == self._request.exchange.head.header(name)
+
+    async def _declined(self, upstream: EngineExchange, answer: AnswerHead) -> AttemptResult:
+        await self._drain(upstream)
+        stale = answer.status == 421
+        self._outcome = ExchangeOutcome.MISDIRECTED if stale else ExchangeOutcome.DECLINED_FULL
+        self._ending = None
+        return AttemptResult(AttemptEnd.DECLINED)
+
+    async def _drain(self, upstream: EngineExchange) -> None:
+        while await upstream.read():
+            pass
+
+    async def _relay_whole(self, upstream: EngineExchange, answer: AnswerHead) -> AttemptResult:
+        exchange = self._request.exchange
+        if exchange.begun:  # a stream that another engine was to go on with
+            self._outcome, self._ending = ExchangeOutcome.ERROR_STATUS, Ending.ERROR_STATUS
+            return AttemptResult(AttemptEnd.MAY_HAVE_RUN)
+        headers = self._services.headers.answer_headers(answer)
+        parts: list[bytes] = []
+        size = 0
+        while data := await upstream.read():
+            self._evidence.event(self._loop.time())
+            parts.append(data)
+            size += len(data)
+            if size > WHOLE_ANSWER_BYTES:
+                return await self._relay_large(upstream, answer, b"".join(parts))
+        self._judge_status(answer.status)
+        if answer.status >= 500:
+            return AttemptResult(
+                AttemptEnd.FAILED_ANSWER, lambda: exchange.respond(answer.status, headers, b"".join(parts))
+            )
+        exchange.respond(answer.status, headers, b"".join(parts))
+        return AttemptResult(None)
+
+    async def _relay_large(self, upstream: EngineExchange, answer: AnswerHead, first: bytes) -> AttemptResult:
+        exchange = self._request.exchange
+        exchange.begin(answer.status, self._services.headers.answer_headers(answer), answer.length)
+        await exchange.write(first)
+        while data := await upstream.read():
+            await exchange.write(data)
+        exchange.end()
+        self._judge_status(answer.status)
+        return AttemptResult(None)
+
+    async def _relay_stream(self, upstream: EngineExchange, answer: AnswerHead) -> AttemptResult:
+        """Pass a stream on as it comes. Its head waits for the first event, until then all is undone easily."""
+        exchange, events = self._request.exchange, self._request.events
+        while data := await upstream.read():
+            if events is not None:
+                data = events.feed(data)
+                if not data:
+                    continue
+            self._note_event()
+            if not exchange.begun:
+                exchange.begin(answer.status, self._services.headers.answer_headers(answer), None)
+            await exchange.write(data)
+        if events is not None and not events.at_event_end:
+            return self._failed(FailureKind.CUT_SHORT)
+        if not exchange.begun:
+            exchange.begin(answer.status, self._services.headers.answer_headers(answer), None)
+        exchange.end()
+        self._outcome, self._ending = ExchangeOutcome.OK, Ending.WHOLE
+        return AttemptResult(None)
+
+    def _note_event(self) -> None:
+        now = self._loop.time()
+        if self._evidence.event(now):
+            self._placement.first_event(self._ticket, now)
+        else:
+            self._placement.heard(self._ticket, now)
+        if self._watch is not None:
+            self._watch.progress(now)
+
+    def _judge_status(self, status: int) -> None:
+        if status >= 500:
+            self._outcome, self._ending = ExchangeOutcome.ERROR_STATUS, Ending.ERROR_STATUS
+        elif status >= 400:
+            self._outcome, self._ending = ExchangeOutcome.OK, Ending.REJECTED
+        else:
+            self._outcome, self._ending = ExchangeOutcome.OK, Ending.WHOLE
+
+    def _failed(self, kind: FailureKind) -> AttemptResult:
+        self._outcome = _OUTCOMES[kind]
+        if kind in _UNSENT:
+            self._ending = None
+            return AttemptResult(AttemptEnd.UNSENT)
+        self._ending = _ENDINGS.get(kind, Ending.ENGINE_LOST)
+        if self._request.events is not None:
+            self._request.events.break_off()
+        return AttemptResult(AttemptEnd.MAY_HAVE_RUN)
+
+    def _note_late(self) -> None:
+        """The request was cancelled: its caller left, or its time is over, which the engine answers for."""
+        now = self._loop.time()
+        if now >= self._request.deadline:
+            self._outcome, self._ending = ExchangeOutcome.TIMED_OUT, Ending.TIMED_OUT
+
+    def _gave_up(self) -> AttemptResult:
+        """The engine was silent for too long, and another one is to take the request up."""
+        task = asyncio.current_task()
+        if task is not None:
+            task.uncancel()
+        self._outcome = ExchangeOutcome.TIMED_OUT
+        self._ending = Ending.WHOLE  # counts as a slow answer, not as a broken one
+        self._evidence.gave_up(self._loop.time())
+        if self._request.events is not None:
+            self._request.events.break_off()
+        return AttemptResult(AttemptEnd.MAY_HAVE_RUN)
+
+    def _settle(self) -> None:
+        now = self._loop.time()
+        if self._watch is not None:
+            self._watch.stop()
+        upstream = self._upstream
+        if upstream is not None:
+            proper = self._outcome in (
+                ExchangeOutcome.OK,
+                ExchangeOutcome.DECLINED_FULL,
+                ExchangeOutcome.MISDIRECTED,
+                ExchangeOutcome.ERROR_STATUS,
+            )
+            if proper:
+                upstream.release()
+            else:
+                upstream.abort()
+        self._placement.ended(self._ticket, self._outcome, now)
+        if self._ending is not None:
+            self._evidence.report(self._ending, now)
+
+    def _make_watch(self) -> SilenceWatch | None:
+        """Return the watch over the engine's silence, where another engine could take the request up."""
+        rules = self._request.rules
+        if not rules.spare_attempt:
+            return None
+        return SilenceWatch(
+            Patience(self._request.route),
+            lambda since: self._placement.silent_since(self._ticket, since),
+            lambda: rules.reserve(self._loop.time()),
+        )
+
+
+__all__ = ["Attempt", "AttemptResult", "ClientGone"]
--- /dev/null
+++ b/src/springmux/node/gateway/control_interface.py
@@ -0,0 +1,114 @@
+"""The gateway's control listener: engines' reports, configuration, rollout orders, readiness, status."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import msgspec
+
+from springmux.agent.agent import NodeAgent
+from springmux.node.driver import AgentDriver
+from springmux.node.gateway.configuration_endpoints import ConfigurationEndpoints
+from springmux.node.gateway.engine_endpoints import EngineEndpoints
+from springmux.node.gateway.replies import Reply, json_reply
+from springmux.node.gateway.rollout_endpoints import RolloutEndpoints
+from springmux.node.gateway.settings import GatewaySettings
+from springmux.node.http.types import BodyTooLarge, ServerExchange
+from springmux.node.metrics import NodeMetrics
+from springmux.vocabulary.errors import ErrorCode
+
+READY_PATH = "/readyz"
+HEALTH_PATH = "/healthz"
+STATUS_PATH = "/v1/status"
+METRICS_PATH = "/metrics"
+CONFIGURATION_PATH = "/v1/gateway/configuration"
+ENGINES_PATH = "/v1/gateway/engines/"
+ROLLOUTS_PATH = "/v1/gateway/rollouts"
+
+
+class ReadyBody(msgspec.Struct, frozen=True):
+    """Answer of the readiness check."""
+
+    ready: bool
+    reason: str
+
+
+class Readiness(Protocol):
+    """Whether callers should come here."""
+
+    def readiness(self) -> ReadyBody:
+        """Return the present answer with its reason."""
+        ...
+
+
+class ControlInterface:
+    """Routes requests of the control listener to their endpoints."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        agent: NodeAgent,
+        driver: AgentDriver,
+        metrics: NodeMetrics,
+        readiness: Readiness,
+    ) -> None:
+        self._agent = agent
+        self._metrics = metrics
+        self._readiness = readiness
+        self._engines = EngineEndpoints(agent, driver.submit)
+        self._configuration = ConfigurationEndpoints(agent, driver, settings.order_timeout_s)
+        self._rollouts = RolloutEndpoints(settings, agent, driver)
+
+    async def handle(self, exchange: ServerExchange) -> None:
+        """Answer one request of an operator, an engine or the platform's readiness check."""
+        path = exchange.head.target.partition(b"?")[0].decode("latin-1")
+        try:
+            reply = await self._reply(exchange, path)
+        except BodyTooLarge:
+            reply = json_reply(413, ErrorCode.BODY_TOO_LARGE, "the body is too large")
+        exchange.respond(reply.status, reply.headers, reply.body)
+
+    def ready_reply(self) -> Reply:
+        """Return the answer of the readiness check."""
+        readiness = self._readiness.readiness()
+        return Reply(200 if readiness.ready else 503, msgspec.json.encode(readiness))
+
+    async def _reply(self, exchange: ServerExchange, path: str) -> Reply:
+        method = exchange.head.method.decode("latin-1")
+        if path.startswith(ENGINES_PATH):
+            return await self._engines.handle(method, path.removeprefix(ENGINES_PATH), exchange)
+        if path == CONFIGURATION_PATH:
+            return await self._configuration.handle(method, exchange)
+        if path == ROLLOUTS_PATH or path.startswith(ROLLOUTS_PATH + "/"):
+            service = path.removeprefix(ROLLOUTS_PATH).removeprefix("/")
+            return await self._rollouts.handle(method, service, exchange)
+        plain = self._plain_paths().get(path)
+        if plain is None or method != "GET":
+            return json_reply(404, ErrorCode.NOT_FOUND, "there is no such path")
+        return plain()
+
+    def _plain_paths(self) -> dict[str, Callable[[], Reply]]:
+        return {
+            READY_PATH: self.ready_reply,
+            HEALTH_PATH: lambda: Reply(200, b"ok\n"),
+            STATUS_PATH: self._status,
+            METRICS_PATH: lambda: Reply(200, self._metrics.exposition()),
+        }
+
+    def _status(self) -> Reply:
+        return Reply(200, msgspec.json.encode(self._agent.status()))
+
+
+def ready_handler(interface: ControlInterface) -> Callable[[ServerExchange], Awaitable[None]]:
+    """Return the handler of the listener that only answers readiness checks."""
+
+    async def handle(exchange: ServerExchange) -> None:
+        await asyncio.sleep(0)
+        reply = interface.ready_reply()
+        if exchange.head.target.partition(b"?")[0] != READY_PATH.encode():
+            reply = json_reply(404, ErrorCode.NOT_FOUND, "there is no such path")
+        exchange.respond(reply.status, reply.headers, reply.body)
+
+    return handle
--- /dev/null
+++ b/src/springmux/node/gateway/forwarder.py
@@ -0,0 +1,139 @@
+"""Handles a caller's request: route, key, quota and body, then the attempts at engines."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import msgspec
+
+from springmux.gateway import attempts
+from springmux.gateway.attempts import Refusal
+from springmux.gateway.core import GatewayCore
+from springmux.gateway.prompt import parse_facts, quota_tokens
+from springmux.gateway.routing import Admitted, KeyRefused, NoSuchRoute
+from springmux.node.gateway.forwarding import ForwardedRequest
+from springmux.node.gateway.headers import HeaderRules
+from springmux.node.http.types import BodyTooLarge, ClientGone, EngineClient, ServerExchange
+
+DEADLINE_MARGIN_S = 0.1
+"""The engine is told the deadline too and answers for itself; the gateway's own answer comes just after."""
+
+
+class _ErrorBody(msgspec.Struct, frozen=True):
+    code: str
+    message: str
+
+
+@dataclass(slots=True)
+class ForwarderServices:
+    """What the handling of requests needs of the node."""
+
+    core: GatewayCore
+    client: EngineClient
+    headers: HeaderRules
+    randomness: random.Random
+
+
+class Forwarder:
+    """The front listener's handler."""
+
+    def __init__(self, services: ForwarderServices) -> None:
+        self._services = services
+        self._core = services.core
+        self._headers = services.headers
+
+    async def handle(self, exchange: ServerExchange) -> None:
+        """Answer one request. Returns early if the caller leaves."""
+        self._core.counters.requests += 1
+        task = asyncio.current_task()
+        gone = False
+
+        def leave() -> None:
+            nonlocal gone
+            gone = True
+            if task is not None:
+                task.cancel()
+
+        exchange.on_gone(leave)
+        try:
+            await self._handle(exchange)
+        except ClientGone:
+            return
+        except asyncio.CancelledError:
+            if not gone:
+                raise
+
+    async def _handle(self, exchange: ServerExchange) -> None:
+        admitted = self._admit(exchange)
+        if isinstance(admitted, Refusal):
+            self._refuse(exchange, admitted)
+            return
+        try:
+            body = await exchange.body()
+        except BodyTooLarge:
+            self._refuse(exchange, attempts.BODY_TOO_LARGE)
+            return
+        now = asyncio.get_running_loop().time()
+        usage = exchange.head.header(self._headers.names.token_usage)
+        wait_s = self._take_quota(admitted, usage, now)
+        if wait_s is not None:
+            self._refuse(exchange, attempts.over_quota(wait_s))
+            return
+        await self._forward(exchange, admitted, body)
+
+    def _admit(self, exchange: ServerExchange) -> Admitted | Refusal:
+        if not self._core.configured:
+            return attempts.NO_CONFIGURATION
+        head = exchange.head
+        host = head.header(b"host") or b""
+        path = head.target.partition(b"?")[0]
+        key = head.header(self._headers.names.api_key)
+        key_text = key.decode("latin-1") if key is not None else None
+        try:
+            return self._core.table.admit(host.decode("latin-1"), path.decode("latin-1"), key_text)
+        except NoSuchRoute:
+            return attempts.NO_ROUTE
+        except KeyRefused:
+            return attempts.NO_KEY
+
+    def _take_quota(self, admitted: Admitted, usage: bytes | None, now: float) -> float | None:
+        tenant = admitted.tenant
+        if tenant is None or tenant.rate_per_s <= 0:
+            return None
+        return self._core.usage.admit(tenant.name, quota_tokens(tenant, usage), now)
+
+    async def _forward(self, exchange: ServerExchange, admitted: Admitted, body: bytes) -> None:
+        names = self._headers.names
+        head = exchange.head
+        facts = parse_facts(head.header(names.prompt_prefix), head.header(names.token_usage))
+        deadline = exchange.received_at + self._allowed_s(exchange, admitted)
+        request = ForwardedRequest(self._services, exchange, admitted, facts, body, deadline)
+        try:
+            async with asyncio.timeout_at(deadline + DEADLINE_MARGIN_S):
+                refusal = await request.run()
+        except TimeoutError:
+            refusal = request.too_late()
+        if refusal is not None:
+            self._refuse(exchange, refusal)
+
+    def _allowed_s(self, exchange: ServerExchange, admitted: Admitted) -> float:
+        allowed_ms = admitted.route.timeout_ms
+        stated = exchange.head.header(self._headers.names.deadline_ms)
+        if stated is not None and stated.isdigit():
+            allowed_ms = min(allowed_ms, float(stated))
+        return allowed_ms / 1000.0
+
+    def _refuse(self, exchange: ServerExchange, refusal: Refusal) -> None:
+        if refusal.retry_after_s is not None:
+            self._core.counters.refused += 1
+        else:
+            self._core.counters.failed += 1
+        if exchange.begun:
+            exchange.abort()
+            return
+        request_id = exchange.head.header(self._headers.names.request_id)
+        headers = self._headers.refusal_headers(refusal, request_id)
+        body = msgspec.json.encode(_ErrorBody(refusal.code, refusal.message))
+        exchange.respond(refusal.status, headers, body)
--- /dev/null
+++ b/src/springmux/node/gateway/forwarding.py
@@ -0,0 +1,131 @@
+"""One forwarded request: attempt after attempt at engines until the caller has an answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from springmux.control.gateway_configuration import GatewayRoute
+from springmux.gateway import attempts
+from springmux.gateway.attempts import AttemptEnd, AttemptRules, Refusal
+from springmux.gateway.event_stream import EventStream
+from springmux.gateway.placement import PromptFacts
+from springmux.gateway.prompt import engine_priority
+from springmux.gateway.routing import Admitted
+from springmux.gateway.versions import VersionSelection
+from springmux.node.gateway.attempt import Attempt, AttemptResult
+from springmux.node.http.types import ServerExchange
+from springmux.vocabulary.engines import EngineRecord
+from springmux.vocabulary.names import ServiceName
+
+if TYPE_CHECKING:
+    from springmux.node.gateway.forwarder import ForwarderServices
+
+HASH_RANGE = float(1 << 64)
+
+
+class ForwardedRequest:
+    """State of one request over its attempts."""
+
+    def __init__(
+        self,
+        services: ForwarderServices,
+        exchange: ServerExchange,
+        admitted: Admitted,
+        facts: PromptFacts,
+        body: bytes,
+        deadline: float,
+    ) -> None:
+        self.services = services
+        self.exchange = exchange
+        self.route: GatewayRoute = admitted.route
+        self.tenant = admitted.tenant
+        self.facts = facts
+        self.body = body
+        self.deadline = deadline
+        self.priority = engine_priority(admitted.route, admitted.tenant)
+        self.rules = AttemptRules(admitted.route, services.core.retry_budget, deadline)
+        self.events = self._event_stream()
+        self._loop = asyncio.get_running_loop()
+        self._attempts = 0
+
+    async def run(self) -> Refusal | None:
+        """Try engines until the caller is answered; return what to answer where none did."""
+        core = self.services.core
+        now = self._loop.time()
+        core.retry_budget.note_request(now)
+        selection = VersionSelection(core.chooser, self._service(), self._prefix_key(), now)
+        try:
+            return await self._try_engines(selection)
+        finally:
+            selection.give_back(self._loop.time())
+
+    def too_late(self) -> Refusal:
+        """Return the answer of a request whose time is over."""
+        return attempts.TOO_LATE if self.rules.may_have_run or self._attempts else attempts.TOO_LATE_UNSENT
+
+    async def _try_engines(self, selection: VersionSelection) -> Refusal | None:
+        core = self.services.core
+        last: AttemptResult | None = None
+        while True:
+            now = self._loop.time()
+            record = selection.next_engine(core.placement, self.facts, now)
+            if record is None:
+                return self._give_up(last, attempts.NO_ENGINE)
+            if last is not None and last.end is not AttemptEnd.UNSENT:
+                core.counters.retries += 1
+            last = await self._attempt(selection, record)
+            if last.end is None:
+                return None
+            if not self.rules.may_try_again(last.end, self._loop.time()):
+                return self._give_up(last, attempts.ALL_FULL)
+
+    async def _attempt(self, selection: VersionSelection, record: EngineRecord) -> AttemptResult:
+        self.services.core.counters.dispatches += 1
+        attempt = Attempt(self, record, selection)
+        self._attempts += 1
+        result = await attempt.run()
+        if result.end is AttemptEnd.UNSENT:
+            self._attempts -= 1
+            selection.not_sent(record)
+        return result
+
+    def _give_up(self, last: AttemptResult | None, unrun: Refusal) -> Refusal | None:
+        """Answer what is left: the engine's own failure, or a refusal that promises no more than is sure."""
+        if self.exchange.begun:
+            return attempts.FAILED
+        if last is not None and last.pass_on is not None:
+            last.pass_on()
+            return None
+        return unrun if self.rules.all_declined else attempts.FAILED
+
+    def _event_stream(self) -> EventStream | None:
+        if not self.route.resumable:
+            return None
+        return EventStream(self.exchange.head.header(self.services.headers.names.last_event_id))
+
+    def _prefix_key(self) -> int:
+        """Return a hash of the prompt's last shared part, or of the request where it states none."""
+        prefix = self.facts.prefix
+        if len(prefix) >= 2:
+            return xxhash.xxh3_64_intdigest(prefix[-2][0].encode("latin-1"))
+        if prefix:
+            return xxhash.xxh3_64_intdigest(prefix[0][0].encode("latin-1"))
+        return self.services.randomness.getrandbits(64)
+
+    def _service(self) -> ServiceName:
+        """Return the route's service; of several, one by weight, the same for a shared prefix if sticky."""
+        backends = self.route.backends
+        if len(backends) == 1:
+            return backends[0].service
+        share = self.services.randomness.random()
+        if self.route.sticky and self.facts.prefix:
+            share = self._prefix_key() / HASH_RANGE
+        rest = share * sum(backend.weight for backend in backends)
+        for backend in backends:
+            rest -= backend.weight
+            if rest < 0:
+                return backend.service
+        return next(backend.service for backend in reversed(backends) if backend.weight > 0)
--- /dev/null
+++ b/src/springmux/node/gateway/headers.py
@@ -0,0 +1,84 @@
+"""Which headers go on to an engine, and which back to the caller."""
+
+from __future__ import annotations
+
+from springmux.gateway.attempts import Refusal
+from springmux.gateway.dialect import HeaderNames
+from springmux.node.http.types import AnswerHead, Header, RequestHead
+from springmux.vocabulary.engines import EngineRecord
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+"""Concern one connection only (RFC 9110, section 7.6.1), or are set anew from the body at hand."""
+CONNECTION = b"connection"
+
+
+class HeaderRules:
+    """Filters and writes headers under one deployment's names."""
+
+    def __init__(self, names: HeaderNames) -> None:
+        self.names = names
+        own = {names.api_key, names.tenant, names.target_engine, names.priority, names.deadline_ms}
+        self._not_to_engine = HOP_BY_HOP | own
+
+    def request_for(
+        self,
+        head: RequestHead,
+        record: EngineRecord,
+        tenant: str | None,
+        priority: int,
+        time_left_s: float,
+        last_event_id: bytes | None,
+    ) -> RequestHead:
+        """Return the head that an engine gets: the caller's, but for the key and what the gateway sets."""
+        dropped = self._not_to_engine | _named_by_connection(head.headers)
+        if last_event_id is not None:
+            dropped = dropped | {self.names.last_event_id}
+        kept = [header for header in head.headers if header[0] not in dropped]
+        kept.append((self.names.deadline_ms, b"%d" % max(1, int(time_left_s * 1000))))
+        kept.append((self.names.target_engine, record.engine.encode()))
+        kept.append((self.names.priority, b"%d" % priority))
+        if tenant is not None:
+            kept.append((self.names.tenant, tenant.encode()))
+        if last_event_id is not None:
+            kept.append((self.names.last_event_id, last_event_id))
+        return RequestHead(method=head.method, target=head.target, headers=tuple(kept))
+
+    def answer_headers(self, head: AnswerHead) -> list[Header]:
+        """Return the headers of an engine's answer that the caller gets."""
+        dropped = HOP_BY_HOP | _named_by_connection(head.headers)
+        return [header for header in head.headers if header[0] not in dropped]
+
+    def refusal_headers(self, refusal: Refusal, request_id: bytes | None) -> list[Header]:
+        """Return the headers of an answer of the gateway's own."""
+        headers: list[Header] = [(b"content-type", b"application/json")]
+        if request_id is not None:
+            headers.append((self.names.request_id, request_id))
+        if refusal.retry_after_s is not None:
+            headers.append((b"retry-after", b"%.2f" % refusal.retry_after_s))
+        return headers
+
+    def declined(self, head: AnswerHead) -> bool:
+        """Say whether the engine states that it did not run the request."""
+        return head.status == 421 or head.header(self.names.not_executed) is not None
+
+
+def _named_by_connection(headers: tuple[Header, ...]) -> frozenset[bytes]:
+    """Return the headers that a Connection header declares as its own."""
+    for name, value in headers:
+        if name == CONNECTION:
+            return frozenset(part.strip().lower() for part in value.split(b","))
+    return frozenset()
--- /dev/null
+++ b/src/springmux/node/gateway/process.py
@@ -0,0 +1,252 @@
+"""A gateway node's process: wiring of agent, listeners and storage, reload of settings, orderly stop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+from pathlib import Path
+from typing import Any
+
+from springmux.agent.agent import NodeAgent
+from springmux.agent.events import StopBegun
+from springmux.agent.readiness import STOPPING
+from springmux.coordination.kernel import NoteLevel
+from springmux.coordination.membership.events import SeedsChanged
+from springmux.gateway.dialect import OWN_HEADERS, HeaderNames
+from springmux.node.agent_codec import AgentCodec
+from springmux.node.driver import AgentDriver
+from springmux.node.gateway.control_interface import ControlInterface, ReadyBody, ready_handler
+from springmux.node.gateway.forwarder import Forwarder, ForwarderServices
+from springmux.node.gateway.headers import HeaderRules
+from springmux.node.gateway.settings import GatewaySettings, load_gateway_settings
+from springmux.node.http.client import PooledEngineClient
+from springmux.node.http.server import HttpServer
+from springmux.node.http.types import ServerLimits
+from springmux.node.logs import EventLog
+from springmux.node.metrics import NodeMetrics
+from springmux.node.peer_hello import HelloKeeper
+from springmux.node.peer_transport import PeerTransport
+from springmux.node.storage_open import OpenedStorage, open_storage, set_aside_replica
+from springmux.node.storage_worker import StorageWorker
+from springmux.vocabulary.errors import SettingsError
+
+EXIT_STOPPED = 0
+EXIT_CANNOT_START = 1
+EXIT_WRONG_SETTINGS = 2
+EXIT_CRASHED = 70
+"""``EX_SOFTWARE`` of sysexits.h."""
+BEGIN_ANEW = -1
+"""Not an exit code: run again in this process with a new replica."""
+STORAGE_STOP_S = 1.0
+STILL_ACCEPTING_S = 2.5
+"""After a stop is asked for, callers still come until the platform's readiness checks have noticed."""
+LOADS_PERIOD_S = 0.1
+"""Half the period of usage reports, so that a report carries loads of the moment."""
+LEAVE_MESSAGES_S = 0.1
+STOP_MARGIN_S = 1.0
+"""Part of the grace that is left for closing."""
+CONTROL_BODY_BYTES = 16 << 20
+CONTROL_LIMITS = ServerLimits(max_body_bytes=CONTROL_BODY_BYTES, idle_timeout_s=30.0)
+
+
+class GatewayProcess:
+    """Everything of one running gateway node."""
+
+    def __init__(
+        self, settings: GatewaySettings, names: HeaderNames, opened: OpenedStorage, log: EventLog
+    ) -> None:
+        self._settings = settings
+        self._log = log
+        self._stopping = False
+        self._loads_timer: asyncio.TimerHandle | None = None
+        self.metrics = NodeMetrics()
+        randomness = random.Random(int.from_bytes(os.urandom(8), "big"))
+        self.agent = NodeAgent(settings.agent_settings(), opened.recovered, randomness, opened.claims)
+        self.agent.gateway.least_fleet_retries = settings.fleet_retries
+        self.driver = AgentDriver(self.agent, log, self.metrics)
+        self._transport = self._make_transport(randomness)
+        self._storage = self._make_storage(opened)
+        self.driver.attach(self._transport, self._storage)
+        self._client = PooledEngineClient()
+        services = ForwarderServices(
+            self.agent.gateway, self._client, HeaderRules(names), random.Random(randomness.getrandbits(64))
+        )
+        control = ControlInterface(settings, self.agent, self.driver, self.metrics, self)
+        self._front = HttpServer(Forwarder(services).handle, self._front_limits)
+        self._control = HttpServer(control.handle, lambda: CONTROL_LIMITS)
+        self._ready = HttpServer(ready_handler(control), lambda: CONTROL_LIMITS)
+
+    def readiness(self) -> ReadyBody:
+        """Return whether callers should come here."""
+        if self._stopping:
+            return ReadyBody(False, STOPPING)
+        return ReadyBody(self.agent.gateway.configured, "")
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take what may change while running: the seeds."""
+        self._settings = settings
+        self.driver.submit(SeedsChanged(settings.peer_seeds))
+
+    async def start(self) -> None:
+        """Open the listeners, then start the agent.
+
+        :raises OSError: if an address can't be bound.
+        """
+        settings = self._settings
+        await self._transport.listen(settings.peer_address)
+        for server, address in (
+            (self._control, settings.control_address),
+            (self._ready, settings.ready_address),
+            (self._front, settings.front_address),
+        ):
+            host, _, port = address.rpartition(":")
+            await server.listen(host, int(port))
+        self.driver.start()
+        self._exchange_loads()
+        self._log.write("node_started", zone=settings.zone, fleet=settings.fleet)
+
+    async def wait(self, stop_requested: asyncio.Event) -> int:
+        """Wait for a stop or a crash, and stop. Returns the exit code, or :data:`BEGIN_ANEW`."""
+        stopping = asyncio.ensure_future(stop_requested.wait())
+        given_up = asyncio.ensure_future(self.driver.replica_given_up.wait())
+        awaited: set[asyncio.Future[Any]] = {stopping, given_up, self.driver.crashed}
+        await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        given_up.cancel()
+        if self.driver.crashed.done():
+            return EXIT_CRASHED
+        if not stop_requested.is_set():
+            await self.close()
+            return BEGIN_ANEW
+        await self._stop()
+        return EXIT_STOPPED
+
+    async def _stop(self) -> None:
+        """Stop in order: not ready, hand over leadership, finish every request that was read, close."""
+        settings = self._settings
+        self._log.write("node_stopping", grace_s=settings.stop_grace_s)
+        self._stopping = True
+        self.driver.submit(StopBegun())
+        await asyncio.sleep(STILL_ACCEPTING_S)
+        self._front.stop_accepting()
+        await self._front.finish(settings.stop_grace_s - STILL_ACCEPTING_S - STOP_MARGIN_S)
+        await asyncio.sleep(LEAVE_MESSAGES_S)
+        await self.close()
+        self._log.write("node_stopped")
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        if self._loads_timer is not None:
+            self._loads_timer.cancel()
+        self.driver.stop()
+        self.driver.abandon_waiters()
+        for server in (self._front, self._control, self._ready):
+            server.close()
+        self._client.close()
+        await self._transport.close()
+        if self._storage is not None:
+            await asyncio.to_thread(self._storage.stop, STORAGE_STOP_S)
+
+    def _exchange_loads(self) -> None:
+        self.agent.gateway.exchange_loads()
+        self.driver.look_again()
+        self._loads_timer = asyncio.get_running_loop().call_later(LOADS_PERIOD_S, self._exchange_loads)
+
+    def _front_limits(self) -> ServerLimits:
+        limits = self.agent.gateway.table.configuration.limits
+        return ServerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / 1000.0,
+            idle_timeout_s=limits.idle_timeout_ms / 1000.0,
+        )
+
+    def _make_transport(self, randomness: random.Random) -> PeerTransport:
+        settings = self._settings
+        boot = "%032x" % randomness.getrandbits(128)
+        return PeerTransport(
+            AgentCodec(self.agent),
+            HelloKeeper(settings.fleet, settings.node, boot, None),
+            lambda: self.agent.membership,
+            self.driver.submit,
+            self._log,
+            self.metrics,
+            randomness,
+        )
+
+    def _make_storage(self, opened: OpenedStorage) -> StorageWorker | None:
+        if opened.store is None:
+            return None
+        return StorageWorker(opened.store, self.driver.submit, self.metrics, opened.journal)
+
+
+class GatewayRunner:
+    """Runs process after process in one life: all but the first with a new replica."""
+
+    def __init__(self, file: Path, settings: GatewaySettings, names: HeaderNames) -> None:
+        self._file = file
+        self._settings = settings
+        self._names = names
+        self._log = EventLog(settings.node, settings.log_level)
+        self._stop_requested = asyncio.Event()
+        self._process: GatewayProcess | None = None
+
+    async def run(self) -> int:
+        """Run until stopped; return the exit code."""
+        self._handle_signals()
+        ending = BEGIN_ANEW
+        while ending == BEGIN_ANEW:
+            opened = await self._open()
+            self._process = GatewayProcess(self._settings, self._names, opened, self._log)
+            try:
+                await self._process.start()
+            except OSError as error:
+                self._log.write("cannot_listen", NoteLevel.ERROR, reason=str(error))
+                await self._process.close()
+                return EXIT_CANNOT_START
+            ending = await self._process.wait(self._stop_requested)
+            if ending == BEGIN_ANEW:
+                folder = Path(self._settings.data_folder)
+                await asyncio.to_thread(set_aside_replica, folder, self._log)
+        return ending
+
+    async def _open(self) -> OpenedStorage:
+        if not self._settings.data_folder:
+            return OpenedStorage(store=None, recovered=None)
+        return await asyncio.to_thread(open_storage, Path(self._settings.data_folder), self._log)
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        try:
+            settings = load_gateway_settings(self._file)
+        except SettingsError as error:
+            self._log.write("settings_not_reloaded", NoteLevel.ERROR, reason=str(error))
+            return
+        self._settings = settings
+        if self._process is not None:
+            self._process.reload(settings)
+        self._log.write("settings_reloaded")
+
+
+def run_gateway(file: Path, names: HeaderNames = OWN_HEADERS) -> int:
+    """Run a gateway node until it is stopped. Returns the exit code."""
+    try:
+        settings = load_gateway_settings(file)
+    except SettingsError as error:
+        EventLog("unnamed").write("settings_wrong", NoteLevel.ERROR, reason=str(error))
+        return EXIT_WRONG_SETTINGS
+
+    async def main() -> int:
+        return await GatewayRunner(file, settings, names).run()
+
+    code = asyncio.run(main())
+    if code == EXIT_CRASHED:
+        os._exit(code)  # threads may hang on a stalled disk; the process must end now
+    return code
--- /dev/null
+++ b/src/springmux/node/http/client.py
@@ -0,0 +1,143 @@
+"""Connections to engines, kept for reuse: the HTTP/1.1 client (RFC 9110, RFC 9112)."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable
+
+from springmux.node.http.client_connection import EngineConnection
+from springmux.node.http.client_exchange import HttpEngineExchange
+from springmux.node.http.framing import encode_request
+from springmux.node.http.types import AnswerHead, ExchangeFailed, FailureKind, RequestHead
+
+_DEFAULT_IDLE_S = 10.0
+# An engine closes at its own timeout; the margin keeps a request from meeting that close.
+_IDLE_MARGIN_S = 0.5
+_SHORTEST_TIMEOUT_S = 1
+_TIMEOUT = re.compile(rb"(?:^|[,\s])timeout\s*=\s*\"?(\d{1,9})", re.IGNORECASE)
+
+
+class PooledEngineClient:
+    """Implements :class:`~springmux.node.http.types.EngineClient`.
+
+    :param max_idle_per_address: kept idle connections of one engine; the oldest goes first.
+    """
+
+    def __init__(self, max_idle_per_address: int = 16) -> None:
+        self._max_idle = max_idle_per_address
+        self._idle: dict[str, list[EngineConnection]] = {}
+        self._connections: set[EngineConnection] = set()
+        self._closed = False
+
+    async def send(
+        self,
+        address: str,
+        head: RequestHead,
+        body: bytes,
+        connect_timeout_s: float,
+        accept: Callable[[AnswerHead], bool],
+    ) -> HttpEngineExchange:
+        """Connect or reuse a connection, write the request, and return the exchange.
+
+        :param address: ``host:port``; an IPv6 host in brackets.
+        :raises ExchangeFailed: ``CONNECT`` or ``NOT_SENT``; nothing was sent.
+        """
+        request = encode_request(head, body)
+        # The framing of a late answer to HEAD can't be told, so such a request has a connection of its own.
+        connection = None if head.method == b"HEAD" else self._take_idle(address)
+        while True:
+            if connection is None:
+                connection = await self._connect(address, connect_timeout_s)
+            # From here to the return nothing waits: a cancellation can't lose the connection.
+            exchange = HttpEngineExchange(connection, head.method, accept, self._keep)
+            connection.user = exchange
+            if connection.write(request):
+                return exchange
+            connection.user = None
+            connection.abort()
+            if connection.fresh:
+                raise ExchangeFailed(FailureKind.NOT_SENT, "the connection ended before the request")
+            connection = self._take_idle(address)
+
+    def forget(self, address: str) -> None:
+        """Close the kept connections of an engine that is gone."""
+        for connection in self._idle.pop(address, []):
+            connection.abort()
+
+    def close(self) -> None:
+        """Close every connection; exchanges under way fail."""
+        self._closed = True
+        self._idle.clear()
+        for connection in tuple(self._connections):
+            connection.abort()
+
+    def _take_idle(self, address: str) -> EngineConnection | None:
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            connection.stop_timer()
+            if connection.usable():
+                return connection
+            connection.abort()
+        return None
+
+    async def _connect(self, address: str, timeout_s: float) -> EngineConnection:
+        if self._closed:
+            raise ExchangeFailed(FailureKind.CONNECT, "the client is closed")
+        loop = asyncio.get_running_loop()
+        connection = EngineConnection(address, self._lost)
+        try:
+            host, port = _split(address)
+            async with asyncio.timeout(timeout_s):
+                await loop.create_connection(lambda: connection, host, port)
+        except TimeoutError:
+            raise ExchangeFailed(FailureKind.CONNECT, "timeout") from None
+        except (OSError, ValueError) as error:
+            raise ExchangeFailed(FailureKind.CONNECT, str(error)) from None
+        if self._closed:
+            connection.abort()
+            raise ExchangeFailed(FailureKind.CONNECT, "the client is closed")
+        if not connection.lost:
+            self._connections.add(connection)
+        return connection
+
+    def _keep(self, connection: EngineConnection, answer: AnswerHead) -> None:
+        life_s = _idle_life_s(answer)
+        if life_s is None or self._closed or self._max_idle < 1:
+            connection.user = None
+            connection.abort()
+            return
+        idle = self._idle.setdefault(connection.address, [])
+        idle.append(connection)
+        connection.keep(life_s)
+        if len(idle) > self._max_idle:
+            idle.pop(0).abort()
+
+    def _lost(self, connection: EngineConnection) -> None:
+        self._connections.discard(connection)
+        idle = self._idle.get(connection.address)
+        if idle is None:
+            return
+        if connection in idle:
+            idle.remove(connection)
+        if not idle:
+            del self._idle[connection.address]
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError("the address is not host:port")
+    return host.removeprefix("[").removesuffix("]"), int(port)
+
+
+def _idle_life_s(answer: AnswerHead) -> float | None:
+    """Return how long an idle connection may be kept, from ``Keep-Alive``; ``None``: not at all."""
+    found = _TIMEOUT.search(answer.header(b"keep-alive") or b"")
+    if found is None:
+        return _DEFAULT_IDLE_S
+    timeout_s = int(found.group(1))
+    if timeout_s <= _SHORTEST_TIMEOUT_S:
+        return None
+    return timeout_s - _IDLE_MARGIN_S
--- /dev/null
+++ b/src/springmux/node/http/framing.py
@@ -0,0 +1,78 @@
+"""Encoding of HTTP/1.1 heads (RFC 9112), and reading of the headers that frame a message."""
+
+from __future__ import annotations
+
+import http
+from collections.abc import Iterable, Sequence
+from traceback import extract_tb
+
+from springmux.node.http.types import Header, RequestHead
+
+_STATUS_LINES = {
+    status.value: b"HTTP/1.1 %d %b\r\n" % (status.value, status.phrase.encode("ascii"))
+    for status in http.HTTPStatus
+}
+_FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding", b"connection"))
+_METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
+
+
+def encode_answer_head(status: int, headers: Iterable[Header], framing: Iterable[Header]) -> bytes:
+    """Return an answer's head: the headers as given, then those that the server adds."""
+    parts = [_STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status]
+    parts.extend(b"%b: %b\r\n" % header for header in headers)
+    parts.extend(b"%b: %b\r\n" % header for header in framing)
+    parts.append(b"\r\n")
+    return b"".join(parts)
+
+
+def encode_request(head: RequestHead, body: bytes) -> bytes:
+    """Return a whole request, its headers as given but for the framing ones, which are made anew."""
+    parts = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
+    for name, value in head.headers:
+        if name not in _FRAMING_HEADERS:
+            parts.append(b"%b: %b\r\n" % (name, value))
+    if body or head.method in _METHODS_WITH_BODY:
+        parts.append(b"content-length: %d\r\n" % len(body))
+    parts.append(b"\r\n")
+    parts.append(body)
+    return b"".join(parts)
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Return one chunk (RFC 9112, 7.1). ``data`` must not be empty: that would end the body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def has_no_body(status: int) -> bool:
+    """Return whether an answer with this status never has a body (RFC 9112, 6.3)."""
+    return status < 200 or status in (204, 304)
+
+
+def transfer_codings(headers: Sequence[Header]) -> list[bytes]:
+    """Return the transfer codings in their order, in lower case; empty without the header."""
+    values = [value for name, value in headers if name == b"transfer-encoding"]
+    return [coding.strip().lower() for value in values for coding in value.split(b",")]
+
+
+def content_length(headers: Sequence[Header]) -> int | None:
+    """Return Content-Length, or ``None`` without it.
+
+    :raises ValueError: if it is no plain number or stands there twice.
+    """
+    values = [value for name, value in headers if name == b"content-length"]
+    if not values:
+        return None
+    if len(values) > 1 or not values[0].isdigit():
+        raise ValueError("content-length is not one plain number")
+    return int(values[0])
+
+
+def describe_exception(error: BaseException) -> str:
+    """Return an exception's type and place. Its text may hold a key or a prompt, so it is left out."""
+    frames = extract_tb(error.__traceback__)
+    if not frames:
+        return type(error).__name__
+    return f"{type(error).__name__} at {frames[-1].filename}:{frames[-1].lineno}"
--- /dev/null
+++ b/src/springmux/node/http/heads.py
@@ -0,0 +1,138 @@
+"""Readers of one head each, from bytes as they come. The bytes after a head are never touched.
+
+Only the head goes through ``httptools``. It has no way to stop at a message's end or to skip the body of an
+answer to HEAD, so bodies are framed in :mod:`springmux.node.http.bodies`.
+"""
+
+from __future__ import annotations
+
+import httptools
+
+from springmux.node.http.framing import content_length, transfer_codings
+from springmux.node.http.types import AnswerHead, Header, RequestHead
+
+_HEAD_END = b"\r\n\r\n"
+_SWITCHING_PROTOCOLS = 101
+
+
+class MalformedMessage(Exception):
+    """Bytes that are not a valid HTTP/1.x message."""
+
+
+class _HeadReader:
+    """What readers of requests and of answers share."""
+
+    def __init__(self) -> None:
+        self.size_bytes = 0
+        self.keep_alive = False
+        self.version = ""
+        self._headers: list[Header] = []
+        self._complete = False
+        self._tail = b""
+        self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser | None = None
+
+    def feed(self, data: bytes) -> int | None:
+        """Take bytes; return how many belonged to the head if it is whole now, else ``None``.
+
+        :raises MalformedMessage: if they can't begin a valid head.
+        """
+        joined = self._tail + data
+        found = joined.find(_HEAD_END)
+        if found < 0:
+            self._tail = joined[-(len(_HEAD_END) - 1) :]
+            self._parse(data)
+            if self._complete:
+                raise MalformedMessage("the head has no proper end")
+            return None
+        used = found + len(_HEAD_END) - len(self._tail)
+        self._parse(data[:used])
+        self._parser = None
+        if not self._complete:
+            raise MalformedMessage("the head is not whole at its end")
+        return used
+
+    def _parse(self, data: bytes) -> None:
+        self.size_bytes += len(data)
+        assert self._parser is not None
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # An upgrade is never made: the message goes on as if it hadn't been offered (RFC 9110, 7.8).
+            return
+        except httptools.HttpParserError as error:
+            raise MalformedMessage(str(error)) from None
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header (called by the parser)."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Note the head's end (called by the parser)."""
+        assert self._parser is not None
+        if self._complete:
+            raise MalformedMessage("two heads in one")
+        self._complete = True
+        self.keep_alive = self._parser.should_keep_alive()
+        self.version = self._parser.get_http_version()
+
+
+class RequestHeadReader(_HeadReader):
+    """Reads the head of one request."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._target = b""
+        self._request_parser = httptools.HttpRequestParser(self)
+        self._parser = self._request_parser
+        self._method = b""
+
+    def on_url(self, part: bytes) -> None:
+        """Take a part of the target (called by the parser)."""
+        self._target += part
+
+    def on_headers_complete(self) -> None:
+        """Note the head's end and the method (called by the parser)."""
+        self._method = self._request_parser.get_method()
+        super().on_headers_complete()
+
+    def head(self) -> RequestHead:
+        """Return the head, once whole.
+
+        :raises MalformedMessage: if its version is not one that we speak.
+        """
+        del self._request_parser
+        if self.version not in ("1.0", "1.1"):
+            raise MalformedMessage("not HTTP/1.0 or HTTP/1.1")
+        return RequestHead(method=self._method, target=self._target, headers=tuple(self._headers))
+
+
+class AnswerHeadReader(_HeadReader):
+    """Reads the head of one answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._answer_parser = httptools.HttpResponseParser(self)
+        self._parser = self._answer_parser
+        self._status = 0
+
+    def on_headers_complete(self) -> None:
+        """Note the head's end and the status (called by the parser)."""
+        self._status = self._answer_parser.get_status_code()
+        super().on_headers_complete()
+
+    def head(self) -> AnswerHead:
+        """Return the head, once whole.
+
+        :raises MalformedMessage: if its framing is not valid, or it switches protocols, which nobody asked.
+        """
+        del self._answer_parser
+        if self._status == _SWITCHING_PROTOCOLS:
+            raise MalformedMessage("the engine switches protocols")
+        headers = tuple(self._headers)
+        try:
+            length = content_length(headers)
+        except ValueError as error:
+            raise MalformedMessage(str(error)) from None
+        codings = transfer_codings(headers)
+        chunked = bool(codings) and codings[-1] == b"chunked"
+        return AnswerHead(status=self._status, headers=headers, length=length, chunked=chunked)
--- /dev/null
+++ b/src/springmux/node/http/sockets.py
@@ -0,0 +1,60 @@
+"""Socket options of the server's and the client's connections."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import select
+import socket
+import struct
+from typing import cast
+
+# The task's figures: a machine without power says nothing, and must be noticed within two seconds.
+_KEEPALIVE_IDLE_S = 1
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 2
+_USER_TIMEOUT_MS = 1500
+
+# What Linux reports when a peer's machine stays silent: the last three if ARP or a router noticed first.
+SILENT_ERRORS = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.EHOSTDOWN))
+
+
+def _socket_of(transport: asyncio.Transport) -> socket.socket | None:
+    return cast("socket.socket | None", transport.get_extra_info("socket"))
+
+
+def send_without_delay(transport: asyncio.Transport) -> None:
+    """Set TCP_NODELAY."""
+    sock = _socket_of(transport)
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def notice_silent_peer(transport: asyncio.Transport) -> None:
+    """Have the kernel end the connection (ETIMEDOUT) when the peer's machine doesn't acknowledge."""
+    sock = _socket_of(transport)
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Close with a reset, also dropping what the kernel still holds to send."""
+    sock = _socket_of(transport)
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
+
+
+def has_news(transport: asyncio.Transport) -> bool:
+    """Return whether bytes, the end or an error wait in the kernel, not yet seen by the loop."""
+    sock = _socket_of(transport)
+    if sock is None or sock.fileno() < 0:
+        return True
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- /dev/null
+++ b/src/springmux/node/http/write_gate.py
@@ -0,0 +1,29 @@
+"""Backpressure of a connection's writes."""
+
+from __future__ import annotations
+
+import asyncio
+
+
+class WriteGate:
+    """Open while the socket takes bytes; whoever writes waits while it is shut."""
+
+    def __init__(self) -> None:
+        self._waiter: asyncio.Future[None] | None = None
+
+    def shut(self) -> None:
+        """Have writers wait."""
+        if self._waiter is None:
+            self._waiter = asyncio.get_running_loop().create_future()
+
+    def open(self) -> None:
+        """Let writers go on."""
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    async def passed(self) -> None:
+        """Wait until the gate is open."""
+        if self._waiter is not None:
+            # Shielded: a cancelled writer must not end the wait of the others.
+            await asyncio.shield(self._waiter)
--- a/src/springmux/node/logs.py
+++ b/src/springmux/node/logs.py
@@ -3,33 +3,40 @@
 from __future__ import annotations
 
 import contextlib
-import logging
+import json
 import sys
+import threading
+from collections.abc import Callable, Mapping
+from datetime import UTC, datetime
 from typing import Any, TextIO
 
-import structlog
-
 from springmux.coordination.kernel import Note, NoteLevel
 
 FORBIDDEN_FIELDS = frozenset({"key", "body", "prompt", "authorization", "secret", "peer_secret"})
 """Field names whose values are blanked as a last resort; nobody should log them at all."""
 
-_LEVELS = {
-    NoteLevel.DEBUG: logging.DEBUG,
-    NoteLevel.INFO: logging.INFO,
-    NoteLevel.WARNING: logging.WARNING,
-    NoteLevel.ERROR: logging.ERROR,
+_SEVERITIES = {
+    NoteLevel.DEBUG: 10,
+    NoteLevel.INFO: 20,
+    NoteLevel.WARNING: 30,
+    NoteLevel.ERROR: 40,
 }
-
+"""Ranks of the levels, as in the standard library's logging."""
 
 _RENAMED = {"node": "about_node", "event": "about_event", "name": "about_name", "level": "about_level"}
 """A line's own names stay its own: ``node`` is the writer, ``about_node`` whom a part speaks of."""
 
 
-def _blank_secrets(_: Any, __: str, line: structlog.typing.EventDict) -> structlog.typing.EventDict:
-    for name in FORBIDDEN_FIELDS & line.keys():
-        line[name] = "[removed]"
-    return line
+def _json_line(line: Mapping[str, Any]) -> str:
+    return json.dumps(line, default=str)
+
+
+def _console_renderer() -> Callable[[Mapping[str, Any]], str]:
+    """Return a renderer for people; its package is not needed by a node in service."""
+    import structlog
+
+    renderer = structlog.dev.ConsoleRenderer(colors=False)
+    return lambda line: str(renderer(None, str(line["level"]), dict(line)))
 
 
 class EventLog:
@@ -38,36 +45,46 @@
     def __init__(
         self, node: str, level: str = "info", line_format: str = "json", output: TextIO | None = None
     ) -> None:
-        renderer: Any = structlog.processors.JSONRenderer(default=str)
-        if line_format == "console":
-            renderer = structlog.dev.ConsoleRenderer(colors=False)
-        self._threshold = _LEVELS[NoteLevel(level)]
-        self._logger = structlog.wrap_logger(
-            structlog.PrintLogger(output or sys.stderr),
-            processors=[
-                structlog.processors.add_log_level,
-                structlog.processors.TimeStamper(fmt="iso", utc=True),
-                structlog.processors.format_exc_info,
-                _blank_secrets,
-                renderer,
-            ],
-            wrapper_class=structlog.make_filtering_bound_logger(self._threshold),
-            cache_logger_on_first_use=True,
-        ).bind(node=node)
+        self._node = node
+        self._output = output or sys.stderr
+        self._render = _console_renderer() if line_format == "console" else _json_line
+        self._threshold = _SEVERITIES[NoteLevel(level)]
+        self._lock = threading.Lock()
 
     def write(self, name: str, level: NoteLevel = NoteLevel.INFO, **fields: Any) -> None:
         """Write one line named ``name``."""
-        # A full disk or a closed pipe below the log must not end the node.
-        with contextlib.suppress(OSError):
-            self._logger.log(_LEVELS[level], name, **fields)
+        if _SEVERITIES[level] >= self._threshold:
+            self._write(name, level, fields, {})
 
     def note(self, note: Note) -> None:
         """Write a part's :class:`Note`."""
-        if _LEVELS[note.level] >= self._threshold:
+        if _SEVERITIES[note.level] >= self._threshold:
             fields = {_RENAMED.get(name, name): value for name, value in note.fields.items()}
-            self.write(note.name, note.level, **fields)
+            self._write(note.name, note.level, fields, {})
 
     def crash(self, name: str, error: BaseException) -> None:
         """Write an unexpected exception with its traceback (no local values)."""
-        with contextlib.suppress(OSError):
-            self._logger.error(name, exc_info=error)
+        import traceback
+
+        text = "".join(traceback.format_exception(error)).rstrip("\n")
+        self._write(name, NoteLevel.ERROR, {}, {"exception": text})
+
+    def _write(
+        self, name: str, level: NoteLevel, fields: Mapping[str, Any], after: Mapping[str, Any]
+    ) -> None:
+        now = datetime.now(UTC).isoformat().replace("+00:00", "Z")
+        line = {
+            "node": self._node,
+            **fields,
+            "event": name,
+            "level": level.value,
+            "timestamp": now,
+            **after,
+        }
+        for forbidden in FORBIDDEN_FIELDS & line.keys():
+            line[forbidden] = "[removed]"
+        text = self._render(line) + "\n"
+        # A full disk or a closed pipe below the log must not end the node.
+        with contextlib.suppress(OSError), self._lock:
+            self._output.write(text)
+            self._output.flush()
--- a/src/springmux/node/metrics.py
+++ b/src/springmux/node/metrics.py
@@ -3,19 +3,10 @@
 from __future__ import annotations
 
 import enum
+from bisect import bisect_left
+from itertools import accumulate
 
 import msgspec
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    disable_created_metrics,
-    generate_latest,
-)
-
-# They double the number of series and say only when the process began.
-disable_created_metrics()  # type: ignore[no-untyped-call]
 
 
 class MetricKind(enum.StrEnum):
@@ -36,6 +27,13 @@
     buckets: tuple[float, ...] = ()
 
 
+class HistogramState(msgspec.Struct, frozen=True):
+    """A histogram at one moment: cumulated counts of its buckets, the one without bound last, and the sum."""
+
+    cumulated: tuple[int, ...]
+    sum: float
+
+
 PREFIX = "springmux_"
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
 LAG_BUCKETS_S = (0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0)
@@ -72,52 +70,82 @@
 )
 
 
+_SPECS = {spec.name: spec for spec in METRICS}
+_Place = tuple[str, ...]
+"""A metric's name and its labels' values."""
+
+
+class _Observations:
+    """A histogram: how many observations fell into each bucket, the last one without bound, and their sum."""
+
+    def __init__(self, bounds: tuple[float, ...]) -> None:
+        self.bounds = bounds
+        self.counts = [0] * (len(bounds) + 1)
+        self.sum = 0.0
+
+    def add(self, value: float) -> None:
+        # A bucket holds what is at most its bound, as Prometheus defines it.
+        self.counts[bisect_left(self.bounds, value)] += 1
+        self.sum += value
+
+
 class NodeMetrics:
-    """The node's metrics in a registry of their own (several nodes may live in one test process)."""
+    """The node's metrics, plain numbers until somebody asks for the exposition.
+
+    Threads other than the event loop's may count under labels that are theirs alone.
+    """
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        self._counters: dict[str, Counter] = {}
-        self._children: dict[tuple[str, ...], Counter] = {}
-        self._gauges: dict[str, Gauge] = {}
-        self._histograms: dict[str, Histogram] = {}
+        self._values: dict[_Place, float] = {}
+        self._histograms: dict[str, _Observations] = {}
         for spec in METRICS:
-            self._register(spec)
-
-    def _register(self, spec: MetricSpec) -> None:
-        name = PREFIX + spec.name
-        if spec.kind is MetricKind.COUNTER:
-            self._counters[spec.name] = Counter(name, spec.help, spec.labels, registry=self.registry)
-        elif spec.kind is MetricKind.GAUGE:
-            self._gauges[spec.name] = Gauge(name, spec.help, spec.labels, registry=self.registry)
-        else:
-            self._histograms[spec.name] = Histogram(
-                name, spec.help, spec.labels, buckets=spec.buckets, registry=self.registry
-            )
+            if spec.kind is MetricKind.HISTOGRAM:
+                self._histograms[spec.name] = _Observations(spec.buckets)
+            elif not spec.labels:
+                self._values[(spec.name,)] = 0.0
 
     def count(self, name: str, *labels: str, amount: float = 1) -> None:
-        """Add ``amount`` to a counter of the table."""
+        """Add ``amount`` to a counter of the table.
+
+        :raises KeyError, ValueError: if the table has no such counter, or it has other labels.
+        """
         place = (name, *labels)
-        child = self._children.get(place)
-        if child is None:
-            counter = self._counters[name]
-            child = self._children[place] = counter.labels(*labels) if labels else counter
-        child.inc(amount)
+        before = self._values.get(place)
+        if before is None:
+            before = self._first(place)
+        self._values[place] = before + amount
 
     def set(self, name: str, value: float) -> None:
         """Set a gauge of the table."""
-        self._gauges[name].set(value)
+        if _SPECS[name].kind is not MetricKind.GAUGE:
+            raise ValueError(f"{name} is no gauge")
+        self._values[(name,)] = value
 
     def observe(self, name: str, value: float) -> None:
         """Add one observation to a histogram of the table."""
-        self._histograms[name].observe(value)
+        self._histograms[name].add(value)
 
     def value(self, name: str, *labels: str) -> float:
         """Return a counter's or gauge's present value (for status pages and tests)."""
-        names = next(spec.labels for spec in METRICS if spec.name == name)
-        found = self.registry.get_sample_value(PREFIX + name, dict(zip(names, labels, strict=True)))
-        return found or 0.0
+        place = (name, *labels)
+        found = self._values.get(place)
+        return self._first(place) if found is None else found
 
     def exposition(self) -> bytes:
-        """Return the text exposition format."""
-        return generate_latest(self.registry)
+        """Return the text exposition format. The library is loaded at the first scrape."""
+        from springmux.node.metrics_exposition import render
+
+        return render(METRICS, dict(self._values), {n: self._buckets(n) for n in self._histograms})
+
+    def _buckets(self, name: str) -> HistogramState:
+        observations = self._histograms[name]
+        return HistogramState(tuple(accumulate(observations.counts)), observations.sum)
+
+    def _first(self, place: _Place) -> float:
+        """Return the value of a place that has none yet."""
+        spec = _SPECS[place[0]]
+        if spec.kind is MetricKind.HISTOGRAM:
+            raise ValueError(f"{spec.name} is a histogram")
+        if len(place) - 1 != len(spec.labels):
+            raise ValueError(f"{spec.name} has the labels {spec.labels}, given were {place[1:]}")
+        return 0.0
--- a/src/springmux/node/peer_channel.py
+++ b/src/springmux/node/peer_channel.py
@@ -7,37 +7,30 @@
 from collections import deque
 from collections.abc import Callable
 
-import aiohttp
 import msgspec
 
 from springmux.coordination.identifiers import Address
 from springmux.node.logs import EventLog
 from springmux.node.metrics import NodeMetrics
-from springmux.node.peer_hello import (
-    Challenge,
-    HelloError,
-    HelloKeeper,
-    Welcome,
-    decode_handshake,
-    encode_handshake,
-)
-
-PEER_PATH = "/v1/peer"
-CONNECT_TIMEOUT_S = 1.0
+from springmux.node.peer_frames import FrameConnection
+from springmux.node.peer_hello import HelloError, HelloKeeper
+from springmux.node.peer_link import PeerLink
+
+ATTEMPT_TIMEOUT_S = 1.0
+"""Connection and handshake together."""
 SEND_TIMEOUT_S = 5.0
 """A peer that takes nothing for so long is frozen or cut off; a new connection finds out which."""
 BACKOFF_FIRST_S = 0.1
-BACKOFF_LIMIT_S = 2.0
-"""A peer that comes back must hear its fleet again within about 2 s."""
+BACKOFF_LIMIT_S = 0.5
+"""A peer that comes back must hear its fleet again within about 0.5 s."""
 IDLE_CLOSE_S = 60.0
-WATCH_S = 1.0
-"""How often a connection's limits are looked at. A timer for each message costs more than the check."""
 MAX_QUEUED_MESSAGES = 512
 MAX_QUEUED_BYTES = 32 << 20
 """Room for two of the largest messages (12 MiB) and the small ones beside them."""
 URGENT_BYTES = 4096
 """Heartbeats, votes, probes and tokens are smaller; when a queue is full, larger messages go first."""
-MAX_MESSAGE_BYTES = 64 << 20
+WRITE_BYTES = 256 << 10
+"""Messages that wait together go out in writes of about this size (some socket buffers' worth)."""
 
 
 class Outgoing(msgspec.Struct, frozen=True):
@@ -98,7 +91,6 @@
         self,
         address: Address,
         lane: str,
-        session: aiohttp.ClientSession,
         keeper: HelloKeeper,
         log: EventLog,
         metrics: NodeMetrics,
@@ -106,10 +98,8 @@
         on_connected: Callable[[str], None],
         on_lost: Callable[[str], None],
     ) -> None:
-        self._url = f"http://{address}{PEER_PATH}"
         self._address = address
         self._lane = lane
-        self._session = session
         self._keeper = keeper
         self._log = log
         self._metrics = metrics
@@ -117,11 +107,16 @@
         self._on_connected = on_connected
         self._on_lost = on_lost
         self._queue = SendQueue(lambda: metrics.count("peer_dropped_messages_total", "queue_full"))
-        self._filled = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
         self._task: asyncio.Task[None] | None = None
-        self._sending_since: float | None = None
-        self._watcher: asyncio.TimerHandle | None = None
-        self._used_at = 0.0
+        self._rival: asyncio.Task[None] | None = None
+        self._replacement: PeerLink | None = None
+        self._connection: FrameConnection | None = None
+        """Set while messages may go out: from the welcome to the connection's end."""
+        self._flush_planned = False
+        self._unsent_bytes = 0
+        self._moved_at = 0.0
+        """When something was last queued for, or taken by, the other side."""
         self.node = ""
         """Node that answered last at this address, empty before the first answer."""
 
@@ -133,42 +128,64 @@
     def send(self, message: Outgoing) -> None:
         """Queue a message; the connection is made if there is none."""
         self._queue.put(message)
-        self._filled.set()
-        if not self.active:
-            self._task = asyncio.get_running_loop().create_task(self._run(), name=f"peer {self._address}")
+        if self._connection is not None:
+            self._plan_flush()
+        elif not self.active:
+            self._task = self._loop.create_task(self._run(), name=f"peer {self._address}")
+
+    def look(self, now: float) -> None:
+        """Look after the connection: to be called some times a second.
+
+        One that takes nothing for long is ended, an idle one closed, and one whose messages nobody
+        acknowledges replaced as soon as a second one gets through.
+        """
+        connection = self._connection
+        if connection is None:
+            return
+        unsent_bytes = connection.unsent_bytes
+        if unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes, self._moved_at = unsent_bytes, now
+        elif unsent_bytes and now - self._moved_at >= SEND_TIMEOUT_S:
+            connection.abort()
+        elif not unsent_bytes and not self._queue and now - self._moved_at >= IDLE_CLOSE_S:
+            self._connection = None  # what is queued from here on goes over a new connection
+            connection.close()
+        elif connection.unanswered and (self._rival is None or self._rival.done()):
+            self._rival = self._loop.create_task(self._replace(connection), name=f"peer {self._address}")
 
     async def close(self) -> None:
         """End the connection; what is queued is lost."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        if self._replacement is not None:
+            self._replacement.end()
 
     async def _run(self) -> None:
         failures = 0
         while True:
-            begun = False
+            began_at = self._loop.time()
+            greeted = False
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S) as connecting:
-                    async with self._session.ws_connect(
-                        self._url, max_msg_size=MAX_MESSAGE_BYTES, compress=0, autoping=True
-                    ) as socket:
-                        await self._greet(socket)
-                        connecting.reschedule(None)
-                        failures, begun = 0, True
-                        await self._pump_connected(socket)
+                link: PeerLink | None = await self._reach()
+                failures, greeted = 0, True
+                while link is not None:
+                    link = await self._hold(link)
                 if not self._queue:
                     return
                 continue  # something was queued while the idle connection was closing
             except HelloError as error:
                 self._metrics.count("peer_refused_hellos_total", error.reason)
-            except (TimeoutError, OSError, aiohttp.ClientError) as error:
-                if not begun and failures == 0:
+            except (TimeoutError, OSError) as error:
+                if not greeted and failures == 0:
                     self._log.write("peer_unreachable", address=self._address, error=type(error).__name__)
             self._on_lost(self.node)
             failures += 1
             # What waited through a failed connection is stale; its senders repeat what matters.
             self._queue.clear()
-            await asyncio.sleep(self._backoff(failures))
+            # An attempt that waited has spent its time already: attempts begin at the backoff's distance.
+            spent_s = 0.0 if greeted else self._loop.time() - began_at
+            await asyncio.sleep(self._backoff(failures) - spent_s)
             if not self._queue:
                 return
 
@@ -176,73 +193,79 @@
         longest = min(BACKOFF_LIMIT_S, BACKOFF_FIRST_S * 2.0 ** min(failures, 8))
         return self._random.uniform(0.5, 1.0) * longest
 
-    async def _greet(self, socket: aiohttp.ClientWebSocketResponse) -> None:
-        challenge = decode_handshake(await _receive_binary(socket))
-        if not isinstance(challenge, Challenge):
-            raise HelloError("malformed")
-        hello = self._keeper.hello(challenge, self._lane)
-        await socket.send_bytes(encode_handshake(hello))
-        welcome = decode_handshake(await _receive_binary(socket))
-        if not isinstance(welcome, Welcome):
-            raise HelloError("malformed")
-        self._keeper.check_welcome(hello, welcome)
-        self.node = welcome.node
-
-    async def _pump_connected(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+    async def _reach(self) -> PeerLink:
+        """Return a connection whose handshake is over.
+
+        :raises HelloError: if the other side is no peer.
+        :raises OSError: if it can't be reached in time.
+        """
+        link = PeerLink(self._address)
+        try:
+            async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
+                await link.connect()
+                await link.greet(self._keeper, self._lane)
+        except BaseException:
+            link.end()
+            raise
+        return link
+
+    async def _hold(self, link: PeerLink) -> PeerLink | None:
+        """Let messages go out until the connection ends. Returns the one that replaces it, if there is one.
+
+        :raises OSError: if it was neither replaced nor closed for being idle.
+        """
         self._metrics.set("peer_connections", self._metrics.value("peer_connections") + 1)
-        self._on_connected(self.node)
-        # The other side sends nothing more; reading notices its close and answers its pings.
-        reader = asyncio.get_running_loop().create_task(socket.receive())
-        reader.add_done_callback(lambda _: self._filled.set())
-        self._used_at = asyncio.get_running_loop().time()
+        self._connection = link.connection
+        self._replacement = None
+        self._unsent_bytes, self._moved_at = 0, self._loop.time()
+        if self.node != link.node and self.node:
+            self._on_lost(self.node)
+        self.node = link.node
         try:
-            async with asyncio.timeout(None) as limit:
-                self._watch(limit)
-                await self._pump(socket, reader)
+            self._on_connected(self.node)
+            self._flush()
+            await link.wait_lost(on_writable=self._flush)
+            if self._replacement is None and self._connection is not None:
+                raise ConnectionResetError("the peer closed the connection")
+            return self._replacement
         finally:
-            if self._watcher is not None:
-                self._watcher.cancel()
-            self._sending_since = None
+            self._connection = None
+            if self._rival is not None:
+                self._rival.cancel()
+            link.end()
             self._metrics.set("peer_connections", self._metrics.value("peer_connections") - 1)
-            reader.cancel()
-            await asyncio.gather(reader, return_exceptions=True)
 
-    async def _pump(self, socket: aiohttp.ClientWebSocketResponse, reader: asyncio.Task[object]) -> None:
-        while True:
-            while self._queue:
-                if reader.done():
-                    raise ConnectionResetError("the peer closed the connection")
-                await self._send_one(socket, self._queue.pop())
-            if reader.done():
-                raise ConnectionResetError("the peer closed the connection")
-            self._filled.clear()
-            await self._filled.wait()
-            if not self._queue and not reader.done():
-                return  # woken by the watch: idle for long
-
-    def _watch(self, limit: asyncio.Timeout) -> None:
-        """End a send that takes too long, and wake the pump of an idle connection so that it closes."""
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        if self._sending_since is not None and now - self._sending_since >= SEND_TIMEOUT_S:
-            limit.reschedule(now)
+    async def _replace(self, unanswered: FrameConnection) -> None:
+        """Try whether a second connection gets through where the first one does not."""
+        try:
+            link = await self._reach()
+        except (HelloError, TimeoutError, OSError):
+            return
+        if self._connection is unanswered and unanswered.unanswered:
+            self._replacement = link
+            unanswered.abort()
+        else:
+            link.end()
+
+    def _plan_flush(self) -> None:
+        """Write after this turn of the loop, together with what else is queued in it."""
+        if not self._flush_planned:
+            self._flush_planned = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_planned = False
+        connection = self._connection
+        if connection is None or not connection.open or not self._queue:
             return
-        if self._sending_since is None and now - self._used_at >= IDLE_CLOSE_S:
-            self._filled.set()
-        self._watcher = loop.call_later(WATCH_S, self._watch, limit)
-
-    async def _send_one(self, socket: aiohttp.ClientWebSocketResponse, message: Outgoing) -> None:
-        now = asyncio.get_running_loop().time()
-        self._sending_since = self._used_at = now
-        await socket.send_bytes(message.data)
-        self._sending_since = None
-        self._metrics.count("peer_sent_messages_total", message.name)
-        self._metrics.count("peer_sent_bytes_total", message.name, amount=len(message.data))
-
-
-async def _receive_binary(socket: aiohttp.ClientWebSocketResponse) -> bytes:
-    message = await socket.receive()
-    if message.type is not aiohttp.WSMsgType.BINARY:
-        raise HelloError("closed")
-    data: bytes = message.data
-    return data
+        self._moved_at = self._loop.time()
+        while self._queue and not connection.full:
+            payloads: list[bytes] = []
+            size_bytes = 0
+            while self._queue and size_bytes < WRITE_BYTES:
+                message = self._queue.pop()
+                payloads.append(message.data)
+                size_bytes += len(message.data)
+                self._metrics.count("peer_sent_messages_total", message.name)
+                self._metrics.count("peer_sent_bytes_total", message.name, amount=len(message.data))
+            connection.send(payloads)
--- a/src/springmux/node/peer_hello.py
+++ b/src/springmux/node/peer_hello.py
@@ -9,7 +9,7 @@
 
 import hashlib
 import hmac
-import secrets
+import os
 
 import msgspec
 
@@ -84,11 +84,11 @@
 
     def challenge(self) -> Challenge:
         """Return a fresh challenge."""
-        return Challenge(nonce=secrets.token_bytes(NONCE_BYTES))
+        return Challenge(nonce=os.urandom(NONCE_BYTES))
 
     def hello(self, challenge: Challenge, lane: str) -> Hello:
         """Answer a challenge and pose one's own."""
-        nonce = secrets.token_bytes(NONCE_BYTES)
+        nonce = os.urandom(NONCE_BYTES)
         proof = self._proof("hello", challenge.nonce, self._fleet, self._node, self._boot, lane)
         return Hello(self._fleet, self._node, self._boot, lane, nonce, proof)
 
