--- a/src/springmux/control/commands.py
+++ b/src/springmux/control/commands.py
@@ -31,6 +31,11 @@
 """Two changes share an order id with a probability below 1e-20 in years of hundreds of changes a day."""
 
 
+CONTENT_ORDER_PREFIX = "rollout/"
+"""Begins the id of a rollout order that is made from what was ordered. The node that takes such an order
+chooses the plan's canary by what it measures, so a resend to another node may carry another plan."""
+
+
 class Command(msgspec.Struct, frozen=True, tag=True, omit_defaults=True, kw_only=True):
     """Base of every command. ``issued_by`` is an operator's name or ``"system"``."""
 
--- a/src/springmux/control/order_window.py
+++ b/src/springmux/control/order_window.py
@@ -9,12 +9,14 @@
 import msgspec
 
 from springmux.control.commands import (
+    CONTENT_ORDER_PREFIX,
     AnyCommand,
     ApplyGateway,
     CommandResult,
     PromoteRollout,
     encode_command,
 )
+from springmux.rollout.plan import RolloutPlan
 from springmux.vocabulary.names import OrderId, RolloutId, VersionName
 
 DEFAULT_MAX_ORDERS = 10_000
@@ -42,6 +44,10 @@
     """
     if isinstance(command, PromoteRollout):
         command = msgspec.structs.replace(command, rollout=RolloutId(""), stable=VersionName(""))
+        if command.order.startswith(CONTENT_ORDER_PREFIX):
+            plan = command.plan
+            ordered = RolloutPlan(plan.service, plan.candidate, plan.by_s)
+            command = msgspec.structs.replace(command, plan=ordered)
     elif isinstance(command, ApplyGateway):
         command = msgspec.structs.replace(command, issued_by="")
     return hashlib.blake2b(encode_command(command), digest_size=DIGEST_BYTES).digest()
--- a/src/springmux/gateway/attempts.py
+++ b/src/springmux/gateway/attempts.py
@@ -97,7 +97,7 @@
 BODY_TOO_LARGE = Refusal(413, "body_too_large", "the body is larger than the limit")
 NO_ENGINE = Refusal(503, "no_engine", "no engine of the service can be reached", 1.0)
 ALL_FULL = Refusal(503, "overloaded", "the engines of the service are full", 0.15)
-FAILED = Refusal(502, "engine_failed", "no whole answer came from an engine; the request may have run")
+FAILED = Refusal(502, "engine_broke_off", "no whole answer came from an engine; the request may have run")
 TOO_LATE = Refusal(504, "deadline_exceeded", "no answer within the time allowed; the request may have run")
 TOO_LATE_UNSENT = Refusal(503, "deadline_exceeded", "no engine took the request in time", 0.25)
 
--- a/src/springmux/gateway/core.py
+++ b/src/springmux/gateway/core.py
@@ -67,6 +67,8 @@
 
     def update_control(self, view: ControlView, now: float) -> None:
         """Take a newer control state; an older one is ignored."""
+        if view.revision < self._view.revision:
+            return
         before, self._view = self._view, view
         if view.gateway is not before.gateway:
             self.table = RouteTable(view.gateway)
--- a/src/springmux/gateway/event_stream.py
+++ b/src/springmux/gateway/event_stream.py
@@ -73,8 +73,17 @@
 
 
 def _split(data: bytes) -> list[bytes]:
+    """Split whole events; further empty lines stay with the event after them."""
     separator = b"\r\n\r\n" if b"\r\n\r\n" in data else b"\n\n"
-    return [event + separator for event in data.split(separator) if event.strip()]
+    events: list[bytes] = []
+    blank = b""
+    for piece in data.split(separator)[:-1]:
+        if piece.strip():
+            events.append(blank + piece + separator)
+            blank = b""
+        else:
+            blank += piece + separator
+    return [*events, blank] if blank else events
 
 
 def _id_of(event: bytes) -> bytes | None:
--- a/src/springmux/gateway/versions.py
+++ b/src/springmux/gateway/versions.py
@@ -5,7 +5,7 @@
 from springmux.gateway.placement import Placement, PromptFacts
 from springmux.rollout.outcome import VersionChooser
 from springmux.vocabulary.engines import EngineRecord
-from springmux.vocabulary.names import EngineId, RouteName, ServiceName
+from springmux.vocabulary.names import EngineId, RouteName, ServiceName, VersionName
 
 
 class VersionSelection:
@@ -20,6 +20,7 @@
         "_credit",
         "_engines_limit",
         "_prefix_key",
+        "_repeatable",
         "_route",
         "_versions",
         "excluded",
@@ -27,14 +28,22 @@
     )
 
     def __init__(
-        self, chooser: VersionChooser, service: ServiceName, route: RouteName, prefix_key: int, now: float
+        self,
+        chooser: VersionChooser,
+        service: ServiceName,
+        route: RouteName,
+        prefix_key: int,
+        now: float,
+        repeatable: bool = False,
     ) -> None:
+        """:param repeatable: the request may be the trial of an engine that is held out."""
         choice = chooser.choose(service, prefix_key, now, route)
         self.service = service
         self.excluded: set[EngineId] = set()
         self._chooser = chooser
         self._prefix_key = prefix_key
         self._route = route
+        self._repeatable = repeatable
         self._versions = choice.versions
         self._credit = choice.candidate
         self._engines_limit = choice.engines_limit
@@ -44,12 +53,12 @@
         if not self._versions and self.excluded:
             self._ask_again(now)
         if not self._versions:
-            return placement.choose(self.service, (), facts, self.excluded, now)
+            return self._choose(placement, (), facts, now)
         for version in self._versions:
             is_candidate = self._credit and version == self._versions[0]
             if self._chooser.recheck(self.service, version, now):
                 limit = self._engines_limit if is_candidate else 0
-                found = placement.choose(self.service, (version,), facts, self.excluded, now, limit)
+                found = self._choose(placement, (version,), facts, now, limit)
                 if found is not None:
                     return found
             if is_candidate:
@@ -58,6 +67,18 @@
                 return self.next_engine(placement, facts, now)
         return None
 
+    def _choose(
+        self,
+        placement: Placement,
+        versions: tuple[VersionName, ...],
+        facts: PromptFacts,
+        now: float,
+        engines_limit: int = 0,
+    ) -> EngineRecord | None:
+        return placement.choose(
+            self.service, versions, facts, self.excluded, now, engines_limit, self._repeatable
+        )
+
     def _ask_again(self, now: float) -> None:
         """Take a rollout into account that began since the first attempt: a retry goes to the release."""
         choice = self._chooser.choose(self.service, self._prefix_key, now, self._route)
--- a/src/springmux/node/gateway/attempt.py
+++ b/src/springmux/node/gateway/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,11 @@
 
 CONNECT_TIMEOUT_S = 0.4
 """Several round trips within a region; less than the second after which a lost opening packet is resent."""
+DECLINE_BODY_S = 0.05
+"""Longer than a short body needs; a new connection costs less than the wait."""
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request has not run and never will."""
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 WHOLE_ANSWER_BYTES = 1 << 20
 """Up to this size an answer that is no stream is read whole before the caller gets any of it."""
 
@@ -74,7 +80,7 @@
         self._outcome = ExchangeOutcome.ABANDONED
         self._ending: Ending | None = Ending.CALLER_GONE
         self._upstream: EngineExchange | None = None
-        self._watch = self._make_watch()
+        self._watch: SilenceWatch | None = None
 
     async def run(self) -> AttemptResult:
         """Carry the attempt out. Whatever happens, the engine's place is given back and its answer judged."""
@@ -85,7 +91,9 @@
         except StreamFault:
             return self._failed(FailureKind.MALFORMED)
         except asyncio.CancelledError:
-            if self._watch is None or not self._watch.expired:
+            task = asyncio.current_task()
+            expired = self._watch is not None and self._watch.expired
+            if not expired or (task is not None and task.uncancel() > 0):
                 self._note_late()
                 raise
             return self._gave_up()
@@ -109,22 +117,41 @@
             self._record.address, head, request.body, CONNECT_TIMEOUT_S, self._is_ours
         )
         self._upstream = upstream
+        self._watch = self._make_watch()
         self._selection.sent(self._record)
+        request.in_doubt = True
         answer = await upstream.head()
         if self._services.headers.declined(answer):
             return await self._declined(upstream, answer)
+        self._check_head(answer)
         if 200 <= answer.status < 300 and request.route.kind is GatewayRouteKind.STREAM:
             return await self._relay_stream(upstream, answer)
         return await self._relay_whole(upstream, answer)
 
     def _is_ours(self, answer: AnswerHead) -> bool:
-        """Say whether an answer echoes this request's id; one without an id is taken as ours."""
+        """Say whether an answer echoes this request's id. An engine may decline without naming it."""
         name = self._services.headers.names.request_id
         echoed = answer.header(name)
-        return echoed is None or echoed == self._request.exchange.head.header(name)
+        if echoed is None:
+            return self._services.headers.declined(answer)
+        return echoed == self._request.exchange.head.header(name)
+
+    def _check_head(self, answer: AnswerHead) -> None:
+        """Refuse an answer that the caller must not get.
+
+        :raises ExchangeFailed: it is a success that no engine signed, or its status would promise the caller
+            of a request that may not be repeated that it has not run.
+        """
+        if 200 <= answer.status < 300 and answer.header(self._services.headers.names.seal) is None:
+            raise ExchangeFailed(FailureKind.MALFORMED, "a success without a seal")
+        if not self._request.route.repeatable and answer.status in PROMISES:
+            raise ExchangeFailed(FailureKind.MALFORMED, "a promise without the engine's word")
 
     async def _declined(self, upstream: EngineExchange, answer: AnswerHead) -> AttemptResult:
-        await self._drain(upstream)
+        """Take the engine's word; its body is read only so that the connection can be kept."""
+        with contextlib.suppress(ExchangeFailed, TimeoutError):
+            async with asyncio.timeout(DECLINE_BODY_S):
+                await self._drain(upstream)
         stale = answer.status == 421
         self._outcome = ExchangeOutcome.MISDIRECTED if stale else ExchangeOutcome.DECLINED_FULL
         self._ending = None
@@ -143,7 +170,7 @@
         parts: list[bytes] = []
         size = 0
         while data := await upstream.read():
-            self._evidence.event(self._loop.time())
+            self._note_event()
             parts.append(data)
             size += len(data)
             if size > WHOLE_ANSWER_BYTES:
@@ -158,6 +185,8 @@
 
     async def _relay_large(self, upstream: EngineExchange, answer: AnswerHead, first: bytes) -> AttemptResult:
         exchange = self._request.exchange
+        if self._watch is not None:
+            self._watch.stop()
         exchange.begin(answer.status, self._services.headers.answer_headers(answer), answer.length)
         await exchange.write(first)
         while data := await upstream.read():
@@ -169,7 +198,9 @@
     async def _relay_stream(self, upstream: EngineExchange, answer: AnswerHead) -> AttemptResult:
         """Pass a stream on as it comes. Its head waits for the first event: until then all can be undone."""
         exchange, events = self._request.exchange, self._request.events
+        tail = b""
         while data := await upstream.read():
+            tail = (tail + data)[-4:]
             if events is not None:
                 data = events.feed(data)
                 if not data:
@@ -177,8 +208,13 @@
             self._note_event()
             if not exchange.begun:
                 exchange.begin(answer.status, self._services.headers.answer_headers(answer), None)
+            if self._watch is not None:
+                self._watch.stop()
             await exchange.write(data)
-        if events is not None and not events.at_event_end:
+            if self._watch is not None:
+                self._watch.resume()
+        whole = events.at_event_end if events is not None else not tail or tail.endswith(EVENT_ENDS)
+        if not whole:
             return self._failed(FailureKind.CUT_SHORT)
         if not exchange.begun:
             exchange.begin(answer.status, self._services.headers.answer_headers(answer), None)
@@ -221,9 +257,6 @@
 
     def _gave_up(self) -> AttemptResult:
         """The engine was silent for too long, and another one is to take the request up."""
-        task = asyncio.current_task()
-        if task is not None:
-            task.uncancel()
         self._outcome = ExchangeOutcome.TIMED_OUT
         self._ending = Ending.WHOLE  # counts as a slow answer, not as a broken one
         self._evidence.gave_up(self._loop.time())
--- a/src/springmux/node/gateway/configuration_endpoints.py
+++ b/src/springmux/node/gateway/configuration_endpoints.py
@@ -49,4 +49,6 @@
             partial=partial,
         )
         answered = await submit(self._driver, command, self._timeout_s)
-        return order_reply(answered, PRECONDITION_FAILED)
+        return order_reply(
+            answered, PRECONDITION_FAILED, ErrorCode.VERSION_CONFLICT, ErrorCode.INVALID_CONFIGURATION
+        )
--- a/src/springmux/node/gateway/forwarder.py
+++ b/src/springmux/node/gateway/forwarder.py
@@ -111,6 +111,9 @@
         head = exchange.head
         facts = parse_facts(head.header(names.prompt_prefix), head.header(names.token_usage))
         deadline = exchange.received_at + self._allowed_s(exchange, admitted)
+        if asyncio.get_running_loop().time() >= deadline:
+            self._refuse(exchange, attempts.TOO_LATE_UNSENT)
+            return
         request = ForwardedRequest(self._services, exchange, admitted, facts, body, deadline)
         try:
             async with asyncio.timeout_at(deadline + DEADLINE_MARGIN_S):
@@ -118,6 +121,11 @@
         except TimeoutError:
             refusal = request.too_late()
         if refusal is not None:
+            tenant = admitted.tenant
+            if refusal.retry_after_s is not None and tenant is not None and tenant.rate_per_s > 0:
+                usage = head.header(names.token_usage)
+                now = asyncio.get_running_loop().time()
+                self._core.usage.give_back(tenant.name, quota_tokens(tenant, usage), now)
             self._refuse(exchange, refusal)
 
     def _allowed_s(self, exchange: ServerExchange, admitted: Admitted) -> float:
--- a/src/springmux/node/gateway/forwarding.py
+++ b/src/springmux/node/gateway/forwarding.py
@@ -49,7 +49,8 @@
         self.rules = AttemptRules(admitted.route, services.core.retry_budget, deadline)
         self.events = self._event_stream()
         self._loop = asyncio.get_running_loop()
-        self._attempts = 0
+        self.in_doubt = False
+        """Whether the present attempt has been sent, so that it may run."""
 
     async def run(self) -> Refusal | None:
         """Try engines until the caller is answered; return what to answer where none did."""
@@ -58,7 +59,9 @@
         core.retry_budget.note_request(now)
         service = self._service()
         self.services.rates.dispatched(service)
-        selection = VersionSelection(core.chooser, service, self.route.name, self._prefix_key(), now)
+        selection = VersionSelection(
+            core.chooser, service, self.route.name, self._prefix_key(), now, self.route.repeatable
+        )
         try:
             return await self._try_engines(selection)
         finally:
@@ -66,7 +69,8 @@
 
     def too_late(self) -> Refusal:
         """Return the answer of a request whose time is over."""
-        return attempts.TOO_LATE if self.rules.may_have_run or self._attempts else attempts.TOO_LATE_UNSENT
+        in_doubt = self.rules.may_have_run or self.in_doubt
+        return attempts.TOO_LATE if in_doubt else attempts.TOO_LATE_UNSENT
 
     async def _try_engines(self, selection: VersionSelection) -> Refusal | None:
         core = self.services.core
@@ -81,17 +85,18 @@
             last = await self._attempt(selection, record)
             if last.end is None:
                 return None
+            if self.exchange.begun and (self.events is None or not self.events.events):
+                return attempts.FAILED
             if not self.rules.may_try_again(last.end, self._loop.time()):
                 return self._give_up(last, attempts.ALL_FULL)
 
     async def _attempt(self, selection: VersionSelection, record: EngineRecord) -> AttemptResult:
         self.services.core.counters.dispatches += 1
-        attempt = Attempt(self, record, selection)
-        self._attempts += 1
-        result = await attempt.run()
+        result = await Attempt(self, record, selection).run()
         if result.end is AttemptEnd.UNSENT:
-            self._attempts -= 1
             selection.not_sent(record)
+        if result.end in (AttemptEnd.UNSENT, AttemptEnd.DECLINED):
+            self.in_doubt = False
         return result
 
     def _give_up(self, last: AttemptResult | None, unrun: Refusal) -> Refusal | None:
--- a/src/springmux/node/gateway/headers.py
+++ b/src/springmux/node/gateway/headers.py
@@ -78,7 +78,5 @@
 
 def _named_by_connection(headers: tuple[Header, ...]) -> frozenset[bytes]:
     """Return the headers that a Connection header declares as its own."""
-    for name, value in headers:
-        if name == CONNECTION:
-            return frozenset(part.strip().lower() for part in value.split(b","))
-    return frozenset()
+    values = [value for name, value in headers if name == CONNECTION]
+    return frozenset(part.strip().lower() for value in values for part in value.split(b","))
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -47,7 +47,7 @@
 """Half the period of usage reports, so that a report carries loads of the moment."""
 RATES_PERIOD_S = 0.5
 LEAVE_MESSAGES_S = 0.1
-STOP_MARGIN_S = 1.0
+STOP_MARGIN_S = 1.5
 """Part of the grace that is left for closing."""
 CONTROL_BODY_BYTES = 16 << 20
 CONTROL_LIMITS = ServerLimits(max_body_bytes=CONTROL_BODY_BYTES, idle_timeout_s=30.0)
@@ -140,7 +140,7 @@
         self.driver.submit(StopBegun())
         await asyncio.sleep(STILL_ACCEPTING_S)
         self._front.stop_accepting()
-        await self._front.finish(settings.stop_grace_s - STILL_ACCEPTING_S - STOP_MARGIN_S)
+        await self._front.finish(max(0.0, settings.stop_grace_s - STILL_ACCEPTING_S - STOP_MARGIN_S))
         await asyncio.sleep(LEAVE_MESSAGES_S)
         await self.close()
         self._log.write("node_stopped")
--- a/src/springmux/node/gateway/replies.py
+++ b/src/springmux/node/gateway/replies.py
@@ -62,15 +62,20 @@
         driver.forget_order(ticket)
 
 
-def order_reply(answered: OrderAnswered | None, conflict_status: int, accepted: bytes = b"{}") -> Reply:
+def order_reply(
+    answered: OrderAnswered | None,
+    conflict_status: int,
+    conflict: ErrorCode,
+    invalid: ErrorCode = ErrorCode.INVALID_ORDER,
+) -> Reply:
     """Return an order's answer: 200, ``conflict_status`` if it lost, 400 if it is invalid, else 503."""
     result: CommandResult | None = answered.result if answered is not None else None
     if result is None:
         return come_back(ErrorCode.NO_QUORUM, "no leader decided the order in time; send it again unchanged")
     if result.outcome is Outcome.ACCEPTED:
-        return Reply(200, accepted)
+        return Reply(200, b"{}")
     if result.outcome is Outcome.CONFLICT:
-        return json_reply(conflict_status, ErrorCode.VERSION_CONFLICT, result.message or "another order won")
+        return json_reply(conflict_status, conflict, result.message or "another order won")
     if result.outcome is Outcome.NOT_FOUND:
         return json_reply(404, ErrorCode.NOT_FOUND, result.message or "no such thing")
-    return json_reply(400, ErrorCode.INVALID_ORDER, result.message or "the order is not valid", result.errors)
+    return json_reply(400, invalid, result.message or "the order is not valid", result.errors)
--- a/src/springmux/node/gateway/rollout_endpoints.py
+++ b/src/springmux/node/gateway/rollout_endpoints.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from springmux.agent.agent import NodeAgent
-from springmux.control.commands import PromoteRollout
+from springmux.control.commands import CONTENT_ORDER_PREFIX, PromoteRollout
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.replies import Reply, come_back, json_reply, order_reply, submit
 from springmux.node.gateway.settings import GatewaySettings
@@ -67,6 +67,9 @@
         except msgspec.DecodeError as error:
             return json_reply(400, ErrorCode.INVALID_ORDER, str(error))
         service, candidate = ServiceName(wanted.service), VersionName(wanted.candidate)
+        released = self._released(service, candidate)
+        if not released and service not in self._agent.view.rollouts:
+            return come_back(ErrorCode.NOT_READY, "no engine of the released version is known here yet")
         settings = self._settings
         plan = plan_for(
             service,
@@ -80,13 +83,13 @@
         # Made from the order itself, so that the same one sent again to any node means the same rollout.
         identity = xxhash.xxh3_128_hexdigest(msgspec.json.encode(wanted))
         command = PromoteRollout(
-            order=OrderId(f"rollout/{identity}"),
+            order=OrderId(f"{CONTENT_ORDER_PREFIX}{identity}"),
             rollout=RolloutId(identity),
             plan=plan,
-            stable=self._released(service, candidate),
+            stable=released,
         )
         answered = await submit(self._driver, command, settings.order_timeout_s)
-        return order_reply(answered, CONFLICT)
+        return order_reply(answered, CONFLICT, ErrorCode.ROLLOUT_CONFLICT)
 
     def _released(self, service: ServiceName, candidate: VersionName) -> VersionName:
         """Return the version that most engines run beside the candidate; empty if there is none."""
--- a/src/springmux/node/gateway/settings.py
+++ b/src/springmux/node/gateway/settings.py
@@ -23,8 +23,8 @@
     """Everything that a gateway node learns from outside. Addresses are ``IP:port``.
 
     ``front_address``: callers. ``ready_address``: readiness checks. ``control_address``: operators and
-    engines. ``seeds``: addresses of three or fewer other nodes, of which only the host counts: peers listen
-    on ``peer_port`` at every node. ``first_start``: the whole fleet starts for the first time, on empty disks.
+    engines. ``seeds``: addresses of three or fewer other nodes; only the host counts, since peers listen
+    on ``peer_port`` everywhere. ``first_start``: the whole fleet starts for the first time, on empty disks.
     ``losses_tolerated``: controllers that may be lost at once. ``heartbeat_ms``: how often engines report.
     ``fleet_retries``: repeats that the whole fleet may send in ten seconds beside its share of requests.
     """
--- a/src/springmux/node/gateway/silence_watch.py
+++ b/src/springmux/node/gateway/silence_watch.py
@@ -32,6 +32,11 @@
         self._first = False
         self._since = now
 
+    def resume(self) -> None:
+        """Watch again after a pause that was not the engine's."""
+        self.progress(self._loop.time())
+        self._timer = self._loop.call_later(self._patience.shortest_s(False), self._look)
+
     def stop(self) -> None:
         """Stop watching."""
         self._timer.cancel()
--- a/tests/unit/control/test_gateway_rollouts.py
+++ b/tests/unit/control/test_gateway_rollouts.py
@@ -7,9 +7,10 @@
 import msgspec
 import pytest
 
-from springmux.control.commands import AbortRollout, Outcome, PromoteRollout
+from springmux.control.commands import CONTENT_ORDER_PREFIX, AbortRollout, Outcome, PromoteRollout
 from springmux.control.state import ControlState
 from springmux.rollout.plan import RolloutPhase
+from springmux.rollout.standard_plan import plan_for
 from springmux.vocabulary.names import OrderId, RolloutId, ServiceName, VersionName
 from tests.unit.control.gateway_support import change, patch, whole, with_gateway
 from tests.unit.control.support import DOCUMENT, Log, configure, finish, promote, step
@@ -143,3 +144,17 @@
     assert log.run(promote_from("v1", "gone", rollout="r2")).errors[0].path == "plan.service"
     log.run(patch(2, remove={"tenants": ["other"]}))
     assert TEXT not in log.state.view().rollouts
+
+
+def test_an_order_made_from_its_content_is_recalled_whatever_canary_the_next_node_measures() -> None:
+    """Given the same order resent to a node that measures another traffic, it gets its first answer."""
+    log = with_gateway()
+    plans = [plan_for(TEXT, VersionName("v2"), 12.0, 0.1, 50, 5000, rate) for rate in (30.0, 31.0)]
+    assert plans[0] != plans[1]
+    order = OrderId(f"{CONTENT_ORDER_PREFIX}abc")
+    orders = [
+        PromoteRollout(order=order, rollout=RolloutId("abc"), plan=p, stable=VersionName("v1")) for p in plans
+    ]
+    first, again = (log.run(command) for command in orders)
+    assert first.outcome is Outcome.ACCEPTED
+    assert again == first
--- a/tests/unit/gateway/test_event_stream.py
+++ b/tests/unit/gateway/test_event_stream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -22,7 +24,7 @@
     """Given a stream cut anywhere, its events come out whole and in order."""
     stream = EventStream()
     places = [0, *sorted(cuts), len(ALL)]
-    out = b"".join(stream.feed(ALL[start:end]) for start, end in zip(places, places[1:], strict=False))
+    out = b"".join(stream.feed(ALL[start:end]) for start, end in pairwise(places))
     assert out == ALL
     assert stream.last_event_id == b"8"
     assert stream.at_event_end
--- /dev/null
+++ b/tests/unit/gateway/test_patience.py
@@ -0,0 +1,62 @@
+"""A busy engine is waited for, a dark one is not; nothing is given up that has no other engine."""
+
+from __future__ import annotations
+
+import pytest
+
+from springmux.control.gateway_configuration import Backend, GatewayRoute, GatewayRouteKind
+from springmux.coordination.retry_budget import RetryBudget
+from springmux.gateway.attempts import AttemptEnd, AttemptRules
+from springmux.gateway.patience import Patience
+from springmux.vocabulary.names import RouteName, ServiceName
+
+ROUTE = GatewayRoute(
+    name=RouteName("caption"),
+    host="a.example",
+    path_prefix="/",
+    kind=GatewayRouteKind.STREAM,
+    backends=(Backend(ServiceName("s"), 1.0),),
+    target_ms=500.0,
+    gap_target_ms=400.0,
+    max_attempts=2,
+    resumable=True,
+)
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "first", "dark", "over"),
+    [
+        (0.29, True, True, False),
+        (0.31, True, True, True),
+        (0.31, True, False, False),
+        (0.99, True, False, False),
+        (1.01, True, False, True),
+        (0.79, False, True, False),
+        (0.81, False, True, True),
+        (0.81, False, False, False),
+        (2.41, False, False, True),
+    ],
+)
+def test_a_silent_engine_is_left_sooner_than_a_busy_one(
+    silent_s: float, first: bool, dark: bool, over: bool
+) -> None:
+    """Given a silence, it depends on what else the engine has sent whether the patience is over."""
+    assert Patience(ROUTE).is_over(silent_s, first, dark) is over
+
+
+def test_a_retry_is_taken_before_an_engine_is_given_up() -> None:
+    """Given no budget, there is nothing to give up for; given some, the retry is then paid already."""
+    poor = AttemptRules(ROUTE, RetryBudget(0.15, 0), deadline=5.0)
+    assert not poor.reserve(1.0)
+    rules = AttemptRules(ROUTE, RetryBudget(0.0, 1), deadline=5.0)
+    assert rules.reserve(1.0)
+    assert not rules.reserve(1.0)
+    assert rules.may_try_again(AttemptEnd.MAY_HAVE_RUN, 1.0)
+
+
+def test_nothing_is_reserved_near_the_deadline_or_without_another_engine() -> None:
+    """Given no time or no further attempt, the present engine is waited for."""
+    assert not AttemptRules(ROUTE, RetryBudget(0.0, 1), deadline=1.0).reserve(0.97)
+    rules = AttemptRules(ROUTE, RetryBudget(0.0, 5), deadline=5.0)
+    assert rules.may_try_again(AttemptEnd.MAY_HAVE_RUN, 1.0)
+    assert not rules.reserve(1.0)
--- /dev/null
+++ b/tests/unit/node_gateway/stand_ins.py
@@ -0,0 +1,211 @@
+"""A node's forwarder with scripted engines, and its callers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import msgspec
+
+from springmux.control.gateway_configuration import (
+    Backend,
+    GatewayConfiguration,
+    GatewayRoute,
+    GatewayRouteKind,
+    GatewayService,
+    GatewayTenant,
+)
+from springmux.control.view import EMPTY_VIEW
+from springmux.coordination.identifiers import Address, NodeId
+from springmux.coordination.usage.part import UsagePart
+from springmux.gateway.core import GatewayCore
+from springmux.gateway.dialect import OWN_HEADERS
+from springmux.node.gateway.forwarder import Forwarder, ForwarderServices
+from springmux.node.gateway.headers import HeaderRules
+from springmux.node.http.types import BodyTooLarge, ClientGone, Header, RequestHead
+from springmux.node.service_rates import ServiceRates
+from springmux.rollout.outcome import FirstTokenWatch, PromptOutcome, VersionChoice
+from springmux.vocabulary.engines import EngineRecord, EnginesView
+from springmux.vocabulary.names import EngineId, RouteName, ServiceName, TenantName, VersionName
+from tests.unit.node_gateway.scripted_engines import ID, Script, ScriptedClient, Sent, now
+
+TEXT = ServiceName("text")
+OLD, NEW = VersionName("v1"), VersionName("v2")
+
+
+class Caller:
+    """Implements ServerExchange: a caller that notes what it gets."""
+
+    def __init__(
+        self,
+        headers: Sequence[Header] = (),
+        *,
+        target: bytes = b"/text/a?b=c",
+        body: bytes | None = b"asked",
+        slow_s: float = 0.0,
+    ) -> None:
+        """:param body: ``None``: over the limit. ``slow_s``: time for which each write waits."""
+        self.head = RequestHead(b"POST", target, ((b"host", b"api"), ID, *headers))
+        self.received_at = now()
+        self.status = 0
+        self.headers: tuple[Header, ...] = ()
+        self.data = b""
+        self.ended = False
+        self.aborted = False
+        self.answered_at = 0.0
+        self._body = body
+        self._slow_s = slow_s
+        self._gone = False
+        self._callbacks: list[Callable[[], None]] = []
+
+    async def body(self) -> bytes:
+        if self._body is None:
+            raise BodyTooLarge
+        return self._body
+
+    def respond(self, status: int, headers: Sequence[Header], body: bytes) -> None:
+        self.begin(status, headers, len(body))
+        self.data += body
+        self.end()
+
+    def begin(self, status: int, headers: Sequence[Header], length: int | None) -> None:
+        assert not self.begun, "a second head"
+        self.status, self.headers = status, tuple(headers)
+
+    async def write(self, data: bytes) -> None:
+        assert self.begun and not self.ended and not self.aborted
+        if self._gone:
+            raise ClientGone
+        self.data += data
+        if self._slow_s:
+            await asyncio.sleep(self._slow_s)
+
+    def end(self) -> None:
+        assert self.begun and not self.ended and not self.aborted
+        self.ended = True
+        self.answered_at = now()
+        self._callbacks.clear()
+
+    def abort(self) -> None:
+        self.aborted = True
+        self.answered_at = now()
+        self._callbacks.clear()
+
+    @property
+    def begun(self) -> bool:
+        return self.status != 0
+
+    def on_gone(self, callback: Callable[[], None]) -> None:
+        self._callbacks.append(callback)
+
+    def leave(self) -> None:
+        self._gone = True
+        callbacks, self._callbacks = self._callbacks, []
+        for callback in callbacks:
+            callback()
+
+    def header(self, name: bytes) -> bytes | None:
+        return dict(self.headers).get(name)
+
+
+class Chooser:
+    """A version filter that gives one choice and notes what comes back."""
+
+    def __init__(self, choice: VersionChoice) -> None:
+        self._choice = choice
+        self.given_back: list[VersionName] = []
+
+    def choose(
+        self, service: ServiceName, prefix_key: int, now: float, route: RouteName | None = None
+    ) -> VersionChoice:
+        return self._choice
+
+    def give_back(self, service: ServiceName, version: VersionName, now: float) -> None:
+        self.given_back.append(version)
+
+    def recheck(self, service: ServiceName, version: VersionName, now: float) -> bool:
+        return True
+
+    def watch(
+        self, service: ServiceName, route: RouteName, prompt_bytes: int, expected_hit: float, now: float
+    ) -> FirstTokenWatch | None:
+        return None
+
+    def overdue(self, watch: FirstTokenWatch, now: float) -> None:
+        raise AssertionError("nothing is watched")
+
+    def observe(self, outcome: PromptOutcome, now: float, watch: FirstTokenWatch | None = None) -> None:
+        raise AssertionError("there is no rollout")
+
+
+def route(kind: GatewayRouteKind, **more: Any) -> GatewayRoute:
+    """Return the route of /text/, for up to three engines unless ``more`` says otherwise."""
+    more = {"max_attempts": 3, "timeout_ms": 5000.0, "target_ms": 20_000.0, **more}
+    return GatewayRoute(RouteName("text"), "api", "/text/", kind, (Backend(TEXT, 1.0),), **more)
+
+
+SAFE = route(GatewayRouteKind.SAFE)
+UNSAFE = route(GatewayRouteKind.UNSAFE)
+STREAM = route(GatewayRouteKind.STREAM)
+RESUMABLE = route(GatewayRouteKind.STREAM, resumable=True)
+
+
+def record(number: int, version: VersionName = OLD) -> EngineRecord:
+    return EngineRecord(EngineId(f"e{number}"), TEXT, version, Address(f"e{number}:80"), 8, 1)
+
+
+class Node:
+    """The real core and forwarder of one node, over scripted engines (four of them by default)."""
+
+    def __init__(
+        self,
+        used: GatewayRoute,
+        *scripts: Script,
+        tenants: Sequence[GatewayTenant] = (),
+        versions: Sequence[VersionName] = (OLD,) * 4,
+        choice: VersionChoice = VersionChoice(()),
+        configured: bool = True,
+    ) -> None:
+        self.client = ScriptedClient(*scripts)
+        self.chooser = Chooser(choice)
+        self.core = GatewayCore(
+            "north", random.Random(1), self.chooser, UsagePart(NodeId("n1"), random.Random(2))
+        )
+        self.core.retry_budget.set_floor(20)
+        if configured:
+            configuration = GatewayConfiguration(
+                1,
+                (used,),
+                {TEXT: GatewayService(TEXT)},
+                {tenant.name: tenant for tenant in tenants},
+                key_tenants={key: tenant.name for tenant in tenants for key in tenant.api_keys},
+            )
+            self.core.update_control(msgspec.structs.replace(EMPTY_VIEW, gateway=configuration), now())
+        records = {f"e{number}": record(number, version) for number, version in enumerate(versions)}
+        known = {EngineId(name): found for name, found in records.items()}
+        self.core.update_engines(EnginesView(known, dict.fromkeys(known, -100.0), {}), now())
+        self.forwarder = Forwarder(
+            ForwarderServices(
+                self.core, self.client, HeaderRules(OWN_HEADERS), random.Random(3), ServiceRates()
+            )
+        )
+
+    async def ask(self, *headers: Header, **more: Any) -> Caller:
+        """Have one caller answered."""
+        caller = Caller(headers, **more)
+        await self.forwarder.handle(caller)
+        return caller
+
+    @property
+    def sent(self) -> list[Sent]:
+        return self.client.sent
+
+    @property
+    def in_flight(self) -> int:
+        return sum(requests for _, requests, _ in self.core.placement.own_loads())
+
+
+def tenant(name: str, key: str, **more: Any) -> GatewayTenant:
+    return GatewayTenant(TenantName(name), (key,), **more)
--- a/tests/unit/rollout/test_short_term_parts.py
+++ b/tests/unit/rollout/test_short_term_parts.py
@@ -24,7 +24,7 @@
 from springmux.rollout.plan_checks import validate_plan
 from springmux.rollout.schedule import plan_schedule
 from springmux.rollout.standard_plan import plan_for
-from springmux.rollout.told import DONE_SETTLE_S, DONE_SETTLE_S, RolloutState, state_of, told_done
+from springmux.rollout.told import DONE_SETTLE_S, RolloutState, state_of, told_done
 from springmux.rollout.version_filter import NO_VERSIONS, THIN_ROUTE_WEIGHT, route_weights
 from springmux.vocabulary.names import RouteName, VersionName
 from tests.unit.judgement.support import outcome
--- a/tests/unit/rollout/test_standard_plan.py
+++ b/tests/unit/rollout/test_standard_plan.py
@@ -4,6 +4,8 @@
 
 from springmux.rollout.standard_plan import plan_for
 from springmux.vocabulary.names import ServiceName, VersionName
+
+
 def test_a_thin_services_canary_is_paid_for_by_the_allowance() -> None:
     """Given few prompts a second, the canary is larger, but never the whole of what a bad one may get."""
     thin = plan_for(ServiceName("pages"), VersionName("v2"), 14.0, 0.1, 50, 5000, prompts_per_s=30.0)
--- a/tests/unit/simulation/site.py
+++ b/tests/unit/simulation/site.py
@@ -1,4 +1,4 @@
-"""A site of the platform in virtual time: machines that start, get lost, are replaced; and a busy operator."""
+"""A site of the platform in virtual time: machines start, get lost, are replaced; an operator is busy."""
 
 from __future__ import annotations
 
