--- a/src/springmux/rollout/plan.py
+++ b/src/springmux/rollout/plan.py
@@ -36,8 +36,8 @@
     first laps, not after the former leases' end. ``needs_evidence``: nothing is finished, even at the term,
     before evidence of the last weight came home to the present leader, and a last look is taken at it.
     ``share_part``: of the exposure share, that may be spent before *done*; the rest is for what a version
-    gets between *done* and the term, if it turns out bad. ``even``: zones aren't tried one after another, and each
-    route gets about as many candidate prompts as another, so that a thin one is judged.
+    gets between *done* and the term, if it turns out bad. ``even``: zones aren't tried one after another, and
+    each route gets about as many candidate prompts as another, so that a thin one is judged.
     """
 
     step_s: tuple[float, ...] = ()
