--- a/Makefile
+++ b/Makefile
@@ -22,12 +22,12 @@
 		--no-emit-trusted-host --no-emit-options --no-header --output-file requirements.lock pyproject.toml
 
 format: $(STAMP) ## format the code
-	$(BIN)/ruff format src tests examples
-	$(BIN)/ruff check --fix src tests examples
+	$(BIN)/ruff format src tests examples platform
+	$(BIN)/ruff check --fix src tests examples platform
 
 test: $(STAMP) ## formatter, linter, import borders, type checker and tests
-	$(BIN)/ruff format --check src tests examples
-	$(BIN)/ruff check src tests examples
+	$(BIN)/ruff format --check src tests examples platform
+	$(BIN)/ruff check src tests examples platform
 	$(BIN)/lint-imports
 	$(BIN)/mypy
 	$(BIN)/pytest -n 6
