Large changes travel compressed, and slow links no longer collapse under copies

In the model with such links, 54 of 90 nodes still lacked a 400 KB command after 20 s: a change over 256 KiB was announced, each relay sent up to eight copies of it over 0.6 MB/s, the askers waited 0.4 s for a chunk that takes 0.42 s on an idle link, asked again and elsewhere, and dropped what the first peer still sent.

Ruled out: processor time (parsing and applying 1,680 routes takes 15 ms on a whole core).

Change: commands of 4 KiB and more, and images of the control state, are compressed where they are made (400 KB to 25 KB in 1 ms) and stay so in the log, pushes and transfers. Digests of orders are of the plain form, alike in every build of zlib. A zone's relays are its controllers, if it has any. A transfer's first chunk is small, the wait for the next ones grows by what is due over a slow link, and an answer of a peer that was given up still counts. Images have format 2; format 1 is read.

Two tests of the delivery used a document of one repeated letter to stand for a large one; it is now of random letters, which compression leaves large.

--- a/src/springmux/agent/applying.py
+++ b/src/springmux/agent/applying.py
@@ -10,6 +10,7 @@
 
 from springmux.agent.effects import PrepareCommands, WriteSnapshot
 from springmux.control.commands import UnknownCommand
+from springmux.control.compression import plain_size_bytes
 from springmux.control.delivery.effects import ApplyCommands, ProvideSnapshot, ReplaceState
 from springmux.control.delivery.events import SnapshotProvided
 from springmux.control.order_events import CommandDecided
@@ -97,4 +98,6 @@
 def _large_commands(work: StateWork) -> tuple[bytes, ...]:
     if not isinstance(work, ApplyCommands):
         return ()
-    return tuple(command.data for command in work.commands if len(command.data) >= LARGE_COMMAND_BYTES)
+    return tuple(
+        command.data for command in work.commands if plain_size_bytes(command.data) >= LARGE_COMMAND_BYTES
+    )
--- a/src/springmux/control/commands.py
+++ b/src/springmux/control/commands.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from springmux.control.compression import compress, decompress
 from springmux.control.view import Tenant
 from springmux.coordination.claims.ring import ClaimRing
 from springmux.coordination.identifiers import Revision
@@ -220,7 +221,12 @@
 
 
 def encode_command(command: AnyCommand) -> bytes:
-    """Return the log's bytes for ``command``."""
+    """Return the log's bytes for ``command``; large ones are compressed."""
+    return compress(encode_plain(command))
+
+
+def encode_plain(command: AnyCommand) -> bytes:
+    """Return the bytes of ``command`` before compression: the same ones in every build, for digests."""
     return _encoder.encode(command)
 
 
@@ -229,4 +235,4 @@
 
     :raises msgspec.DecodeError: if the bytes are not a known command.
     """
-    return _decoder.decode(data)
+    return _decoder.decode(decompress(data))
--- a/src/springmux/control/delivery/fetching.py
+++ b/src/springmux/control/delivery/fetching.py
@@ -23,7 +23,11 @@
 
 
 class _Running(msgspec.Struct):
+    """What is being fetched. Transfers of one kind and target are equal byte for byte at every peer."""
+
     peer: NodeId
+    first_request: int
+    """Answers to this request and later ones are of use: a peer that was given up may only be slow."""
     request: int
     revision: Revision
     deadline: float
@@ -89,11 +93,15 @@
     ) -> tuple[Fetched | None, list[Effect]]:
         """Add a chunk; return the transfer once it is whole, and what to send."""
         running = self._running
-        if running is None or (sender, chunk.request) != (running.peer, running.request):
+        if running is None or not running.first_request <= chunk.request <= running.request:
             return None, []
+        is_newest = (sender, chunk.request) == (running.peer, running.request)
         if (chunk.kind, chunk.target, chunk.checksum) != (running.kind, running.target, running.checksum):
+            if running.kind is not None and not is_newest:
+                return None, []
             _start_over(running, chunk)
-        _add(running, chunk)
+        if _add(running, chunk):
+            running.deadline = now + self._wait_s(running)
         received = len(running.content)
         if received < running.total_bytes:
             return None, [self._ask(running, now)] if received >= running.window_end else []
@@ -129,13 +137,13 @@
         if peer is None:
             return []
         self._request += 1
-        self._running = _Running(peer, self._request, own, now)
+        self._running = _Running(peer, self._request, self._request, own, now)
         if left is not None and left.revision == own:
             self._running = msgspec.structs.replace(left, peer=peer, request=self._request, attempts=1)
         return [self._ask(self._running, now)]
 
     def _ask(self, running: _Running, now: float) -> Effect:
-        running.deadline = now + self._settings.fetch_timeout_s
+        running.deadline = now + self._wait_s(running)
         fetch = FetchState(
             request=running.request,
             revision=running.revision,
@@ -145,6 +153,17 @@
         )
         return Send(running.peer, fetch)
 
+    def _wait_s(self, running: _Running) -> float:
+        """Return how long to wait for the next chunk, by how much of the window is still on its way.
+
+        The peer's link may be carrying the same for as many others as it pushes to. To ask again, here or
+        elsewhere, before it can have come would only fill the links with copies.
+        """
+        due_bytes = max(0, min(running.window_end, running.total_bytes) - len(running.content))
+        settings = self._settings
+        shared_link_bytes_s = settings.slowest_link_bytes_s / settings.fan_out
+        return settings.fetch_timeout_s + min(due_bytes / shared_link_bytes_s, settings.transfer_wait_s)
+
     def _choose(self, own: Revision, now: float) -> NodeId | None:
         """Prefer peers that answer, then near ones; else at random, so that load spreads."""
         self._ahead = {node: revision for node, revision in self._ahead.items() if revision > own}
@@ -168,11 +187,13 @@
     running.early = {}
 
 
-def _add(running: _Running, chunk: StateChunk) -> None:
-    """Add a chunk in its place. Only bytes that lead on count as progress."""
+def _add(running: _Running, chunk: StateChunk) -> bool:
+    """Add a chunk in its place; return whether it led on, which alone counts as progress."""
+    before = len(running.content)
     running.early[chunk.offset] = chunk.data
     running.window_end = max(chunk.window_end, len(running.content))
     while (data := running.early.pop(len(running.content), b"")) != b"":
         running.content += data
         running.attempts = 1
     running.early = {offset: data for offset, data in running.early.items() if offset > len(running.content)}
+    return len(running.content) > before
--- a/src/springmux/control/delivery/serving.py
+++ b/src/springmux/control/delivery/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterator
 
 import msgspec
 import xxhash
@@ -119,13 +120,22 @@
         self._keep_until = now + self._settings.snapshot_keep_s
         is_same = (fetch.kind, fetch.target) == (transfer.kind, transfer.target)
         begin = fetch.offset if is_same else 0
-        size_bytes = self._settings.chunk_bytes
-        end = min(begin + self._settings.window_chunks * size_bytes, len(transfer.content))
+        end = min(begin + self._settings.window_chunks * self._settings.chunk_bytes, len(transfer.content))
         return [
-            Send(sender, _chunk(fetch.request, transfer, offset, min(size_bytes, end - offset), end))
-            for offset in range(begin, end, size_bytes)
+            Send(sender, _chunk(fetch.request, transfer, offset, size_bytes, end))
+            for offset, size_bytes in self._pieces(begin, end)
         ]
 
+    def _pieces(self, begin: int, end: int) -> Iterator[tuple[int, int]]:
+        """Yield offset and size of each chunk from ``begin`` to ``end``."""
+        offset = begin
+        while offset < end:
+            is_first = offset == 0
+            most = self._settings.first_chunk_bytes if is_first else self._settings.chunk_bytes
+            size_bytes = min(most, self._settings.chunk_bytes, end - offset)
+            yield offset, size_bytes
+            offset += size_bytes
+
 
 def decode_delta(content: bytes) -> tuple[DeliveredCommand, ...]:
     """Return the commands of a delta.
--- a/src/springmux/control/order_window.py
+++ b/src/springmux/control/order_window.py
@@ -14,7 +14,7 @@
     ApplyGateway,
     CommandResult,
     PromoteRollout,
-    encode_command,
+    encode_plain,
 )
 from springmux.rollout.plan import RolloutPlan
 from springmux.vocabulary.names import OrderId, RolloutId, VersionName
@@ -50,7 +50,7 @@
             command = msgspec.structs.replace(command, plan=ordered)
     elif isinstance(command, ApplyGateway):
         command = msgspec.structs.replace(command, issued_by="")
-    return hashlib.blake2b(encode_command(command), digest_size=DIGEST_BYTES).digest()
+    return hashlib.blake2b(encode_plain(command), digest_size=DIGEST_BYTES).digest()
 
 
 class OrderWindow:
--- a/src/springmux/control/state_image.py
+++ b/src/springmux/control/state_image.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from springmux.control.compression import compress, decompress
 from springmux.control.configuration_section import ConfigurationVersion
 from springmux.control.order_window import DecidedOrder
 from springmux.control.rollout_section import EndedRollout
@@ -15,8 +16,10 @@
 from springmux.rollout.plan import RolloutRecord
 from springmux.vocabulary.errors import SpringmuxError
 
-FORMAT = b"SMCTL\x01"
-"""Begins each image; the last byte is the format's number. The revision follows, then the body."""
+FORMAT = b"SMCTL\x02"
+"""Begins each image; the last byte is the format's number. The revision follows, then the compressed body."""
+FORMAT_PLAIN = b"SMCTL\x01"
+"""Of earlier programs, whose body is not compressed. Read, not written."""
 _REVISION = struct.Struct(">Q")
 _BODY_OFFSET = len(FORMAT) + _REVISION.size
 
@@ -50,7 +53,7 @@
 
 def encode_image(image: StateImage) -> bytes:
     """Return the image's bytes."""
-    return FORMAT + _REVISION.pack(image.revision) + _encoder.encode(image)
+    return FORMAT + _REVISION.pack(image.revision) + compress(_encoder.encode(image))
 
 
 def image_revision(data: bytes) -> Revision:
@@ -58,7 +61,7 @@
 
     :raises ImageUnreadable: if it isn't an image, or of another format.
     """
-    if not data.startswith(FORMAT) or len(data) < _BODY_OFFSET:
+    if not data.startswith((FORMAT, FORMAT_PLAIN)) or len(data) < _BODY_OFFSET:
         raise ImageUnreadable(f"control state begins with {data[: len(FORMAT)]!r}, known is {FORMAT!r}")
     return Revision(_REVISION.unpack_from(data, len(FORMAT))[0])
 
@@ -70,6 +73,6 @@
     """
     image_revision(data)
     try:
-        return _decoder.decode(memoryview(data)[_BODY_OFFSET:])
+        return _decoder.decode(decompress(data[_BODY_OFFSET:]))
     except msgspec.DecodeError as error:
         raise ImageUnreadable(f"control state can't be read: {error}") from error
--- a/tests/unit/control/delivery/support.py
+++ b/tests/unit/control/delivery/support.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from springmux.control.delivery.effects import ApplyCommands, AskLeaderRevision, ProvideSnapshot, ReplaceState
 from springmux.control.delivery.events import (
     CommandsCommitted,
@@ -19,17 +21,22 @@
 from springmux.control.events import LeadershipKnown
 from springmux.control.state import ControlState
 from springmux.coordination.consensus.types import Entry, EntryKind
-from springmux.coordination.identifiers import Address, LogIndex, NodeId, Term, ZoneName
+from springmux.coordination.identifiers import Address, LogIndex, NodeId, ReplicaId, Term, ZoneName
 from springmux.coordination.kernel import Effect, Event, MessageReceived, PeerMessage, Send, Tick
 from springmux.coordination.membership.view import MembershipView, NodeRecord, NodeStatus
 
 LEADER = NodeId("n00")
+FRAME_BYTES = 200
+"""Envelope and packet headers of a message, roughly."""
 TERM = Term(3)
 
 
-def member(name: str, zone: str, status: NodeStatus = NodeStatus.ALIVE) -> NodeRecord:
+def member(name: str, zone: str, status: NodeStatus = NodeStatus.ALIVE, replica: bool = False) -> NodeRecord:
     nowhere = Address("127.0.0.1:1")
-    return NodeRecord(NodeId(name), ZoneName(zone), nowhere, nowhere, nowhere, status=status)
+    replica_id = ReplicaId(f"r-{name}") if replica else None
+    return NodeRecord(
+        NodeId(name), ZoneName(zone), nowhere, nowhere, nowhere, replica=replica_id, status=status
+    )
 
 
 def view_of(own: str, records: list[NodeRecord]) -> MembershipView:
@@ -51,7 +58,12 @@
     """Nodes n00, n01, ... over zones by turns; n00 leads and holds the log."""
 
     def __init__(
-        self, count: int, zones: int = 3, seed: int = 1, settings: DeliverySettings | None = None
+        self,
+        count: int,
+        zones: int = 3,
+        seed: int = 1,
+        settings: DeliverySettings | None = None,
+        controllers: int = 0,
     ) -> None:
         self.rng = random.Random(seed)
         self.settings = settings or DeliverySettings()
@@ -63,7 +75,10 @@
         self.log: list[Entry] = []
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._number = 0
-        self.records = [member(f"n{i:02}", f"z{i % zones}") for i in range(count)]
+        self.records = [member(f"n{i:02}", f"z{i % zones}", replica=i < controllers) for i in range(count)]
+        self.links: dict[NodeId, float] = {}
+        """Bytes a second that a node's link carries each way; without an entry any number."""
+        self._link_free_at: dict[tuple[NodeId, str], float] = {}
         self.nodes: dict[NodeId, Node] = {}
         for record in self.records:
             self.start(record.node)
@@ -157,7 +172,19 @@
             self.give(target, MessageReceived(node.name, message))
 
         for _ in range(2 if self.rng.random() < self.loss / 2 else 1):
-            self._later(self.rng.uniform(0.001, 0.03), arrive)
+            self._later(self._transfer_s(node.name, to, message) + self.rng.uniform(0.001, 0.03), arrive)
+
+    def _transfer_s(self, sender: NodeId, to: NodeId, message: PeerMessage) -> float:
+        """Return how long the message takes over both ends' links, behind what they carry already."""
+        if not self.links:
+            return 0.0
+        size_bytes = len(msgspec.msgpack.encode(message)) + FRAME_BYTES
+        at = self.now
+        for node, way in ((sender, "out"), (to, "in")):
+            at = max(at, self._link_free_at.get((node, way), 0.0))
+            at += size_bytes / self.links.get(node, float("inf"))
+            self._link_free_at[node, way] = at
+        return at - self.now
 
     def _gossip(self, node: Node) -> None:
         """Some other part's message carries the revision in its envelope, to one node at a time."""
--- a/tests/unit/control/delivery/test_delivery.py
+++ b/tests/unit/control/delivery/test_delivery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import string
 from typing import Union
 
 import msgspec
@@ -10,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from springmux.control.commands import CommandResult, Outcome, PutTemplate, encode_command
+from springmux.control.commands import ApplyGateway, CommandResult, Outcome, PutTemplate, encode_command
 from springmux.control.delivery.effects import ApplyCommands, AskLeaderRevision, ProvideSnapshot
 from springmux.control.delivery.events import (
     CommandsCommitted,
@@ -55,7 +56,9 @@
 
 
 def template(number: int, size_bytes: int) -> bytes:
-    document = b'{"x":"' + b"y" * size_bytes + b'"}'
+    """Return a command whose document compression can't shrink below three quarters."""
+    text = "".join(random.Random(number).choices(string.ascii_letters + string.digits, k=size_bytes))
+    document = b'{"x":"' + text.encode() + b'"}'
     return encode_command(PutTemplate(order=OrderId(f"t{number}"), name="big", document=document))
 
 
@@ -147,6 +150,77 @@
     assert all(not m.commands for _, _, m in fleet.sent if isinstance(m, PushCommands))
 
 
+SLOW_LINK_BYTES_S = 625_000.0
+FAST_LINK_BYTES_S = 12_500_000.0
+
+
+def slow_fleet(seed: int) -> Fleet:
+    """Return ninety nodes of which only the six controllers have links above 5 Mbit/s."""
+    fleet = Fleet(90, zones=3, seed=seed, controllers=6)
+    for number, record in enumerate(fleet.records):
+        fleet.links[record.node] = FAST_LINK_BYTES_S if number < 6 else SLOW_LINK_BYTES_S
+    return fleet
+
+
+def many_routes(count: int) -> bytes:
+    """Return a gateway change with ``count`` routes, as an operator's program makes them."""
+    rng = random.Random(count)
+
+    def name() -> str:
+        return "".join(rng.choices(string.ascii_lowercase + string.digits, k=8))
+
+    routes = [
+        {
+            "name": f"r-{name()}",
+            "host": "www.example",
+            "path_prefix": f"/{name()}/",
+            "kind": "stream",
+            "timeout_ms": 4000,
+            "target_ms": 500,
+            "gap_target_ms": 400,
+            "max_attempts": 2,
+            "sticky": True,
+            "resumable": True,
+            "service": "text",
+        }
+        for _ in range(count)
+    ]
+    document = msgspec.json.encode(
+        {"version": 1, "routes": routes, "services": [{"name": "text", "health_path": "/ok"}]}
+    )
+    return encode_command(ApplyGateway(order=OrderId(f"routes-{count}"), base_version=0, document=document))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_two_thousand_routes_are_in_force_at_ninety_nodes_with_slow_links_within_a_second(seed: int) -> None:
+    fleet = slow_fleet(seed)
+    fleet.run(2)
+    fleet.commit(many_routes(2000))
+    fleet.run(1)
+    assert fleet.behind() == []
+    assert fleet.nodes[LEADER].state.view().gateway.version == 1
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_links_that_are_slow_carry_a_large_change_to_all_without_a_flood_of_copies(seed: int) -> None:
+    """A change that can't be compressed is announced and fetched: one copy a node, hardly more."""
+    fleet = slow_fleet(seed)
+    fleet.run(2)
+    size_bytes = 400_000
+    fleet.commit(template(1, size_bytes))
+    fleet.run(20)
+    assert fleet.behind() == []
+    sent_bytes = sum(len(message.data) for _, _, message in fleet.sent if isinstance(message, StateChunk))
+    assert sent_bytes < 1.5 * 90 * size_bytes
+
+
+def test_a_zone_s_relays_are_its_controllers_if_it_has_any() -> None:
+    records = [member("n00", "z0", replica=True)]
+    records += [member(f"a{i:02}", "z1", replica=i in (7, 11)) for i in range(30)]
+    branches = branches_of_leader(view_of("n00", records), DeliverySettings())
+    assert {branch.to for branch in branches} == {"a07", "a11"}
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_with_a_tenth_of_the_messages_lost_each_change_is_in_force_within_two_seconds(seed: int) -> None:
     fleet = Fleet(12, seed=seed)
