Nodes no longer meet at the engine that looked best to all

Cause: a node counted the other nodes' load at each engine, 0.3 to 0.5 s old at 90 nodes, and every node went to the engine with the least.

Ruled out: too few engines (the same load is served in time by own counts alone); a longer order of a prefix; the exchange's pace (the herd is as long as the delay).

Change: short prompts go to the better of two engines drawn at random, the session's last one beside them; an engine keeps its prefixes unless it has more than 1.5 times the mean and a quarter of its places; calls of plain services count own calls alone.

--- a/src/springmux/gateway/engine_pool.py
+++ b/src/springmux/gateway/engine_pool.py
@@ -54,6 +54,11 @@
     passed: int = 0
     ramp: float = 1.0
 
+    @property
+    def requests(self) -> float:
+        """Requests of all nodes on the engine, as far as this node knows."""
+        return self.in_flight + self.other_requests
+
     def rests(self, engines: int) -> bool:
         """Say whether a cold or slow engine leaves this choice among ``engines`` to the others.
 
--- a/src/springmux/gateway/load_estimate.py
+++ b/src/springmux/gateway/load_estimate.py
@@ -13,12 +13,16 @@
 
 def model_cost(slot: EngineSlot, now: float) -> float:
     """Return a model engine's cost in prompt tokens."""
-    requests = slot.in_flight + slot.other_requests
+    requests = slot.requests
     cost = slot.tokens_ahead(now) + requests * REQUEST_TOKENS
     over = requests + 1.0 - slot.record.capacity
     return cost + over * QUEUED_TOKENS if over > 0.0 else cost
 
 
 def plain_cost(slot: EngineSlot) -> float:
-    """Return a plain back end's load with the new request, 1 meaning that it is just full."""
-    return (slot.in_flight + slot.other_requests + 1.0) / max(1, slot.record.capacity)
+    """Return a plain back end's load with the new request, by this node's own requests.
+
+    A call takes less time than news of other nodes' calls: a back end that looked free to all would be full
+    when theirs arrive.
+    """
+    return (slot.in_flight + 1.0) / max(1, slot.record.capacity)
--- a/src/springmux/gateway/placement.py
+++ b/src/springmux/gateway/placement.py
@@ -1,21 +1,24 @@
 """Choice of the engine for a forwarded request at one of many nodes that don't see each other's load.
 
-Long shared prefixes go to the same engine at every node by weighted rendezvous hash, over as many engines as
-the prefix's load needs, and past an engine that holds clearly more of this node's work (bounded load:
-Mirrokni, Thorup and Zadimoghaddam 2018). Other requests go where this node expects the least wait. Nothing
-here does I/O or reads a clock.
+Long shared prefixes go to the same engine at every node by weighted rendezvous hash, over as many engines
+as the prefix's load needs, and past an engine that holds clearly more than the others (bounded load:
+Mirrokni, Thorup and Zadimoghaddam 2018). Other prompts go to the better of two engines drawn at random:
+what is known of the other nodes' load is some tenths of a second old, and if every node went to the engine
+that looked best, all would meet there (Mitzenmacher 2000, "How useful is old information?"). Calls of plain
+services are over before such news arrives, so there only the own ones count. Nothing here does I/O or reads
+a clock.
 """
 
 from __future__ import annotations
 
 import math
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterator, Mapping
 
 from springmux.control.gateway_configuration import GatewayService
 from springmux.gateway.engine_health import ExchangeOutcome
 from springmux.gateway.engine_pool import EngineGroup, EngineSlot, EngineTable, ServicePool
-from springmux.gateway.load_estimate import REQUEST_TOKENS, model_cost, plain_cost
+from springmux.gateway.load_estimate import model_cost, plain_cost
 from springmux.gateway.placement_tickets import ExchangeLedger, Ticket
 from springmux.gateway.prefix_memory import PrefixMemory
 from springmux.gateway.prompt_facts import NO_FACTS, PromptFacts
@@ -26,16 +29,13 @@
 
 FALLBACKS = 2
 """Engines beyond a prefix's own that it may go to: the second and the third of its order."""
-EXCESS_FACTOR = 1.5
-"""An engine may hold this much more than its share of this node's requests without a cost."""
-LEAST_EXCESS = 3.0
-"""Fewer requests of one node on an engine are chance."""
-EXCESS_TOKENS = 2000.0
-"""Cost of each request above: seven of them outweigh a cold prefix of 13,300 tokens."""
-COLD_FALLBACK_COST = 8.0
-"""Cost of a prefix that a further engine would have to read, in readings: one now, others' wait behind it,
-and the prefixes that it drives out of that engine's cache. Trials with 1, 3, 8 and 25 (one heavy day each):
-2.2, 1.3, 1.1 and 1.1 million tokens of shared parts were read again; 25 was worth no more than 8."""
+BOUND_FACTOR = 1.5
+BOUND_CAPACITY_SHARE = 0.25
+"""An engine keeps its prefixes until it has this many times the mean of all nodes' requests on an engine, and
+this part of its places besides. It is a bound beside the others: where all are full, moving only drives
+other prefixes out of the caches (docs/notes/routing.md has the trials)."""
+CHOICES = 2
+"""Engines of which the better one is taken."""
 CALM_LOAD = 0.25
 """Load of a plain service below which the own zone decides between equals. Above it every node's leaning to
 its zone could overload that zone's engines unseen."""
@@ -176,50 +176,62 @@
         excluded: Collection[EngineId],
         now: float,
     ) -> EngineSlot | None:
-        """Return the cheapest of the prefix's engines; the further ones pay for a cold cache."""
+        """Return the better of two of the prefix's engines, or a further one while both have too much."""
         count = len(group.slots)
         if not count:
             return None
         own_tokens = facts.prompt_tokens - prefix_tokens
         spread = self._memory.spread(prefix_id, own_tokens, group.slots[0].record.capacity, now)
-        share = sum(slot.in_flight for slot in group.slots) / count
-        bound = max(LEAST_EXCESS, EXCESS_FACTOR * share)
-        best: EngineSlot | None = None
-        best_cost = math.inf
-        rank = 0
+        usable = self._first_of_order(group, prefix_id, spread + FALLBACKS, excluded, now)
+        if not usable:
+            return None
+        best = min(self._some_of(usable[:spread]), key=lambda slot: (model_cost(slot, now), slot.sent_at))
+        mean = sum(slot.requests for slot in group.slots) / count
+        for slot in (best, *usable[spread:]):
+            if slot.requests <= BOUND_FACTOR * mean + BOUND_CAPACITY_SHARE * slot.record.capacity:
+                return slot
+        return best
+
+    def _first_of_order(
+        self, group: EngineGroup, prefix_id: str, most: int, excluded: Collection[EngineId], now: float
+    ) -> list[EngineSlot]:
+        """Return up to ``most`` usable engines of the prefix's order."""
+        found: list[EngineSlot] = []
         for slot, gate in group.order(prefix_id):
-            if rank >= spread + FALLBACKS:
-                break
             if slot.health.closed_until > now or slot.record.engine in excluded or self._skips(slot, gate):
                 continue
-            cost = model_cost(slot, now) + max(0.0, slot.in_flight - bound) * EXCESS_TOKENS
-            if rank >= spread:
-                cost += REQUEST_TOKENS
-                if not self._memory.warm(prefix_id, slot, now):
-                    cost += COLD_FALLBACK_COST * prefix_tokens
-            if cost < best_cost or (cost == best_cost and best and slot.sent_at < best.sent_at):
-                best, best_cost = slot, cost
-            rank += 1
-        return best
+            found.append(slot)
+            if len(found) == most:
+                break
+        return found
+
+    def _some_of(self, slots: list[EngineSlot]) -> list[EngineSlot]:
+        return slots if len(slots) <= CHOICES else self._random.sample(slots, CHOICES)
 
     def _least_wait(
         self, group: EngineGroup, facts: PromptFacts, excluded: Collection[EngineId], now: float
     ) -> EngineSlot | None:
-        """Return the engine with the least work ahead, the one that the session used last preferred."""
+        """Return the one with the least work ahead of two engines, the session's last one beside them."""
         holder, kept_tokens = self._holder(facts)
-        count = len(group.slots)
         best: EngineSlot | None = None
         best_cost = math.inf
-        for slot in self._from_anywhere(group.slots):
-            if slot.health.closed_until > now or slot.record.engine in excluded or slot.rests(count):
+        seen = 0
+        for slot in self._in_random_order(group.slots, holder):
+            if slot.health.closed_until > now or slot.record.engine in excluded or self._rests(slot):
                 continue
-            cost = model_cost(slot, now)
-            if slot is holder:
-                cost -= kept_tokens
+            cost = model_cost(slot, now) - (kept_tokens if slot is holder else 0.0)
             if cost < best_cost or (cost == best_cost and best and slot.sent_at < best.sent_at):
                 best, best_cost = slot, cost
+            seen += slot is not holder
+            if seen == CHOICES:
+                break
         return best
 
+    def _rests(self, slot: EngineSlot) -> bool:
+        """Say whether a cold or slow engine, the idlest of those drawn, leaves this request to others."""
+        share = slot.ramp * slot.health.share
+        return share < 1.0 and self._random.random() * CHOICES >= share
+
     def _least_loaded(
         self, pool: ServicePool, group: EngineGroup, excluded: Collection[EngineId], now: float
     ) -> EngineSlot | None:
@@ -253,6 +265,17 @@
             return True
         return slot.health.share < 1.0 and self._random.random() >= slot.health.share
 
+    def _in_random_order(self, slots: list[EngineSlot], first: EngineSlot | None) -> Iterator[EngineSlot]:
+        """Yield ``first`` if it is among ``slots``, then the others as they are drawn."""
+        left = list(slots)
+        if first is not None and first in left:
+            left.remove(first)
+            yield first
+        while left:
+            drawn = int(self._random.random() * len(left))
+            left[drawn], left[-1] = left[-1], left[drawn]
+            yield left.pop()
+
     def _from_anywhere(self, slots: list[EngineSlot]) -> list[EngineSlot]:
         start = int(self._random.random() * len(slots))
         return slots[start:] + slots[:start]
