springmux gateway: operators' commands for gateway nodes, and a status with reasons

Cause: the command line spoke only to the chat-completions interface's admin listener. An operator of gateway nodes had no command at all, and no answer of the control listener gave the gateway's own reason, the version of its configuration and the node's role together: GET /v1/status has the other interface's.

Change: GET /v1/gateway/status, a small typed document (readiness and reason, configuration's version, role, leader, contact, engines by service, version and state, rollouts). Commands: gateway status, configuration, validate, put (with the version built on, sent as If-Match), promote, rollout. Refusals of the control listener, whose error isn't wrapped, are read like the others; 412 exits with 4 and says what to do. A gateway node whose replica couldn't be opened says so in status and metrics, as the other daemon did. Health and metrics of the control listener name their content types (they said JSON).

Ruled out: GET /v1/status extended (it reports the other interface's readiness and would have two in one document); changing the configuration item by item from the command line (the PATCH form stays for clients).

Scripted requests of tests/unit/cli/support.py also note If-Match.

--- a/src/springmux/cli/client.py
+++ b/src/springmux/cli/client.py
@@ -65,12 +65,23 @@
         """Read something."""
         return self._try_all("GET", path, None, {})
 
-    def order(self, method: str, path: str, document: Any = None, order_id: str = "") -> AdminReply:
+    def order(
+        self,
+        method: str,
+        path: str,
+        document: Any = None,
+        order_id: str = "",
+        base_version: int | None = None,
+    ) -> AdminReply:
         """Give an order; every attempt carries the same order id.
 
+        :param document: bytes are sent unchanged, anything else as JSON.
+        :param base_version: version that a change of the gateway's configuration builds on (``If-Match``).
         :raises NoNodeReachable: if no node answered at all. The order may have been taken all the same.
         """
         headers = {"X-Order-Id": order_id or str(uuid.uuid4()), "X-Operator": self._operator}
+        if base_version is not None:
+            headers["If-Match"] = str(base_version)
         return self._try_all(method, path, document, headers)
 
     def _try_all(self, method: str, path: str, document: Any, headers: dict[str, str]) -> AdminReply:
--- /dev/null
+++ b/src/springmux/cli/gateway.py
@@ -0,0 +1,163 @@
+"""``springmux gateway``: status, configuration and rollouts of a fleet of gateway nodes."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from springmux.cli.client import AdminClient
+from springmux.cli.exit_codes import EPILOG, ExitCode
+from springmux.cli.gateway_status_page import print_gateway_status
+from springmux.cli.output import (
+    JsonOption,
+    checked,
+    fail,
+    path_segment,
+    print_json,
+    read,
+    read_file,
+    show_accepted,
+)
+from springmux.control.commands import ApplyGateway, gateway_order_id
+from springmux.control.gateway_section import GatewaySection
+from springmux.vocabulary.errors import FieldError
+
+application = typer.Typer(no_args_is_help=True, help="A fleet of gateway nodes.", epilog=EPILOG)
+
+CONTROL_SOURCES = "--control or SPRINGMUX_CONTROL"
+STATUS_PATH = "/v1/gateway/status"
+CONFIGURATION_PATH = "/v1/gateway/configuration"
+ROLLOUTS_PATH = "/v1/gateway/rollouts"
+WATCH_PERIOD_S = 1.0
+
+ControlOption = Annotated[
+    list[str],
+    typer.Option(
+        "--control",
+        envvar="SPRINGMUX_CONTROL",
+        help="Control address IP:port of a node; repeat it to name several nodes.",
+    ),
+]
+FileArgument = Annotated[Path, typer.Argument(help="JSON file, or - for standard input.")]
+ServiceArgument = Annotated[str, typer.Argument(help="Service of the gateway's configuration.")]
+
+
+@application.command()
+def status(control: ControlOption, json_output: JsonOption = False) -> None:
+    """Show one node: readiness, configuration's version, role, leader, engines and rollouts.
+
+    Example: springmux gateway status --control 10.0.0.5:8002
+    """
+    found = read(AdminClient(control), STATUS_PATH, json_output, CONTROL_SOURCES)
+    if json_output:
+        print_json(found)
+        return
+    print_gateway_status(found)
+
+
+@application.command()
+def configuration(control: ControlOption) -> None:
+    """Print the gateway's whole configuration in force, as JSON; its version is a member of it.
+
+    Example: springmux gateway configuration --control 10.0.0.5:8002 > gateway.json
+    """
+    print_json(read(AdminClient(control), CONFIGURATION_PATH, True, CONTROL_SOURCES))
+
+
+@application.command()
+def validate(file: FileArgument, json_output: JsonOption = False) -> None:
+    """Check a whole configuration of the gateway here, without a node.
+
+    Example: springmux gateway validate gateway.json
+    """
+    errors = local_errors(read_file(file, json_output))
+    if json_output:
+        print_json({"valid": not errors, "errors": [{"path": e.path, "message": e.message} for e in errors]})
+        if errors:
+            raise typer.Exit(ExitCode.INVALID)
+    elif errors:
+        fail(f"{file} is not valid", ExitCode.INVALID, details=[_line(error) for error in errors])
+    else:
+        typer.echo(f"{file}: valid")
+
+
+@application.command()
+def put(
+    file: FileArgument,
+    builds_on: Annotated[
+        int, typer.Option("--builds-on", min=0, help="Version in force that the file was made from; 0: none.")
+    ],
+    control: ControlOption,
+    json_output: JsonOption = False,
+) -> None:
+    """Replace the gateway's whole configuration. The file's own version must be higher.
+
+    Of two changes on top of one version exactly one is accepted (exit 4 for the other).
+
+    Example: springmux gateway put gateway.json --builds-on 12 --control 10.0.0.5:8002
+    """
+    document = read_file(file, json_output)
+    client = AdminClient(control)
+    reply = checked(
+        lambda: client.order("PUT", CONFIGURATION_PATH, document, base_version=builds_on),
+        json_output,
+        CONTROL_SOURCES,
+    )
+    show_accepted(reply, f"configuration on top of version {builds_on}", json_output)
+
+
+@application.command()
+def promote(
+    service: ServiceArgument,
+    candidate: Annotated[str, typer.Option(help="Version that the service's engines are to run.")],
+    by_s: Annotated[float, typer.Option("--by-s", help="Seconds until all traffic is on it.")],
+    control: ControlOption,
+    json_output: JsonOption = False,
+) -> None:
+    """Begin a rollout: move a service's traffic to the engines of a version.
+
+    Example: springmux gateway promote text --candidate v2 --by-s 60 --control 10.0.0.5:8002
+    """
+    order = {"service": service, "candidate": candidate, "by_s": by_s}
+    client = AdminClient(control)
+    reply = checked(lambda: client.order("POST", ROLLOUTS_PATH, order), json_output, CONTROL_SOURCES)
+    show_accepted(reply, f"rollout of {service} to {candidate}", json_output)
+
+
+@application.command()
+def rollout(
+    service: ServiceArgument,
+    control: ControlOption,
+    watch: Annotated[bool, typer.Option("--watch", help="Repeat until it is done or aborted.")] = False,
+    json_output: JsonOption = False,
+) -> None:
+    """Show a service's newest rollout. With --watch the exit code is 0 for done and 1 for aborted.
+
+    Example: springmux gateway rollout text --watch --control 10.0.0.5:8002
+    """
+    client = AdminClient(control)
+    while True:
+        path = f"{ROLLOUTS_PATH}/{path_segment(service)}"
+        found: dict[str, Any] = read(client, path, json_output, CONTROL_SOURCES)
+        if json_output:
+            print_json(found)
+        else:
+            typer.echo(f"{service}: {found['state']}, candidate {found['candidate']}")
+        if not watch:
+            return
+        if found["state"] != "running":
+            raise typer.Exit(ExitCode.OK if found["state"] == "done" else ExitCode.FAILED)
+        time.sleep(WATCH_PERIOD_S)
+
+
+def local_errors(document: bytes) -> tuple[FieldError, ...]:
+    """Return the first wrong field of each item of a whole document, without asking a node."""
+    order = gateway_order_id(0, document, False)
+    return GatewaySection().apply(ApplyGateway(order=order, base_version=0, document=document)).errors
+
+
+def _line(error: FieldError) -> str:
+    return f"{error.path}: {error.message}" if error.path else error.message
--- a/src/springmux/cli/main.py
+++ b/src/springmux/cli/main.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from springmux.cli import configuration, fleet_orders, rollouts, tenants
+from springmux.cli import configuration, fleet_orders, gateway, rollouts, tenants
 from springmux.cli.doctor import doctor
 from springmux.cli.exit_codes import EPILOG
 from springmux.cli.node_command import node
@@ -29,6 +29,7 @@
 application.add_typer(rollouts.application, name="rollout")
 application.add_typer(fleet_orders.engine_application, name="engine")
 application.add_typer(fleet_orders.controller_application, name="controller")
+application.add_typer(gateway.application, name="gateway")
 
 OPTIONAL_GROUPS = ("fleet", "lab")
 """Groups for developers; an installation may leave them out."""
--- a/src/springmux/cli/output.py
+++ b/src/springmux/cli/output.py
@@ -15,6 +15,8 @@
 from springmux.cli.exit_codes import ExitCode
 
 DEFAULT_ADMIN = ["127.0.0.1:7002"]
+ADMIN_SOURCES = "--admin or SPRINGMUX_ADMIN"
+"""Where the addresses of nodes come from, for messages."""
 
 AdminOption = Annotated[
     list[str],
@@ -31,6 +33,16 @@
 ]
 
 
+EXIT_CODES: dict[int, ExitCode] = {
+    HTTPStatus.BAD_REQUEST: ExitCode.INVALID,
+    HTTPStatus.CONFLICT: ExitCode.CONFLICT,
+    HTTPStatus.PRECONDITION_FAILED: ExitCode.CONFLICT,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ExitCode.INVALID,
+    HTTPStatus.UNPROCESSABLE_ENTITY: ExitCode.INVALID,
+}
+"""Exit codes of refusals by HTTP status; any other is :attr:`ExitCode.FAILED`."""
+
+
 def print_json(document: Any) -> None:
     """Print a JSON document."""
     typer.echo(json.dumps(document, indent=2, sort_keys=True))
@@ -55,9 +67,9 @@
     raise typer.Exit(code)
 
 
-def read(client: AdminClient, path: str, as_json: bool) -> Any:
+def read(client: AdminClient, path: str, as_json: bool, sources: str = ADMIN_SOURCES) -> Any:
     """Return the document at ``path``, or exit with what was wrong."""
-    return checked(lambda: client.get(path), as_json).document
+    return checked(lambda: client.get(path), as_json, sources).document
 
 
 def order(
@@ -72,12 +84,15 @@
     return quote(name, safe="")
 
 
-def checked(call: Callable[[], AdminReply], as_json: bool) -> AdminReply:
-    """Make a call and exit with the right code unless it was answered well."""
+def checked(call: Callable[[], AdminReply], as_json: bool, sources: str = ADMIN_SOURCES) -> AdminReply:
+    """Make a call and exit with the right code unless it was answered well.
+
+    :param sources: options and variables that name the nodes, for the message if none can be reached.
+    """
     try:
         reply = call()
     except NoNodeReachable as error:
-        details = [*error.reasons, "give reachable addresses with --admin or SPRINGMUX_ADMIN"]
+        details = [*error.reasons, f"give reachable addresses with {sources}"]
         fail(str(error), ExitCode.UNREACHABLE, as_json, details)
     if reply.status >= HTTPStatus.BAD_REQUEST:
         _refused(reply, as_json)
@@ -85,21 +100,22 @@
 
 
 def _refused(reply: AdminReply, as_json: bool) -> NoReturn:
-    code = {400: ExitCode.INVALID, 413: ExitCode.INVALID, 422: ExitCode.INVALID, 409: ExitCode.CONFLICT}.get(
-        reply.status, ExitCode.FAILED
-    )
+    code = EXIT_CODES.get(reply.status, ExitCode.FAILED)
     document = reply.document if isinstance(reply.document, dict) else {}
     if as_json:
         print_json(document or {"error": {"status": reply.status, "message": "no JSON answer"}})
         raise typer.Exit(code)
-    error = document.get("error", {})
+    error = document.get("error", document)  # a gateway's control listener answers the error itself
     details = [f"{item.get('path')}: {item.get('message')}" for item in error.get("errors", ())]
     if document.get("winner"):
         details.append(f"in force instead: {json.dumps(document['winner'], sort_keys=True)}")
     if error.get("fate") == "unknown":
         details.append("it may have been taken: repeat it with the same --order-id")
-    if error.get("retry_after_s"):
-        details.append(f"try again in {error['retry_after_s']} s")
+    retry_after_s = error.get("retry_after_s") or reply.retry_after_s
+    if retry_after_s:
+        details.append(f"try again in {retry_after_s} s")
+    if reply.status == HTTPStatus.PRECONDITION_FAILED:
+        details.append("read the version in force, make the change on top of it, and name that version")
     message = f"{error.get('code', 'refused')}: {error.get('message', f'status {reply.status}')}"
     fail(message, code, details=details)
 
--- a/src/springmux/node/admin_listener.py
+++ b/src/springmux/node/admin_listener.py
@@ -18,7 +18,7 @@
 from springmux.node.fault_injection import FaultInjector
 from springmux.node.health import HEALTH_BODY, HEALTH_PATH, READY_PATH, NodeHealth, ReadyAgent
 from springmux.node.logs import EventLog
-from springmux.node.metrics import NodeMetrics
+from springmux.node.metrics import EXPOSITION_TYPE, NodeMetrics
 from springmux.node.rollout_history import RolloutHistory
 from springmux.node.service_rates import ServiceRates
 from springmux.node.settings import NodeSettings
@@ -26,7 +26,6 @@
 BODY_MARGIN_BYTES = 64 << 10
 """Bodies a little over the configuration's limit are read, so that the answer can name the limit."""
 CLOSE_TIMEOUT_S = 1.0
-EXPOSITION_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class AdminAgent(RolloutsAgent, ControlAgent, ReadyAgent, Protocol):
--- a/src/springmux/node/gateway/control_interface.py
+++ b/src/springmux/node/gateway/control_interface.py
@@ -12,9 +12,10 @@
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.configuration_endpoints import ConfigurationEndpoints
 from springmux.node.gateway.engine_endpoints import EngineEndpoints
-from springmux.node.gateway.replies import Reply, json_reply
+from springmux.node.gateway.replies import METRICS_HEADERS, TEXT_HEADERS, Reply, json_reply
 from springmux.node.gateway.rollout_endpoints import RolloutEndpoints
 from springmux.node.gateway.settings import GatewaySettings
+from springmux.node.gateway.status_endpoint import gateway_status
 from springmux.node.http.types import BodyTooLarge, ServerExchange
 from springmux.node.metrics import NodeMetrics
 from springmux.node.service_rates import ServiceRates
@@ -24,6 +25,7 @@
 HEALTH_PATH = "/healthz"
 STATUS_PATH = "/v1/status"
 METRICS_PATH = "/metrics"
+GATEWAY_STATUS_PATH = "/v1/gateway/status"
 CONFIGURATION_PATH = "/v1/gateway/configuration"
 ENGINES_PATH = "/v1/gateway/engines/"
 ROLLOUTS_PATH = "/v1/gateway/rollouts"
@@ -57,6 +59,7 @@
         rates: ServiceRates,
     ) -> None:
         self._agent = agent
+        self._driver = driver
         self._metrics = metrics
         self._readiness = readiness
         self._engines = EngineEndpoints(agent, driver.submit)
@@ -94,14 +97,22 @@
     def _plain_paths(self) -> dict[str, Callable[[], Reply]]:
         return {
             READY_PATH: self.ready_reply,
-            HEALTH_PATH: lambda: Reply(200, b"ok\n"),
+            HEALTH_PATH: lambda: Reply(200, b"ok\n", TEXT_HEADERS),
             STATUS_PATH: self._status,
-            METRICS_PATH: lambda: Reply(200, self._metrics.exposition()),
+            GATEWAY_STATUS_PATH: self._gateway_status,
+            METRICS_PATH: lambda: Reply(200, self._metrics.exposition(), METRICS_HEADERS),
         }
 
     def _status(self) -> Reply:
         return Reply(200, msgspec.json.encode(self._agent.status()))
 
+    def _gateway_status(self) -> Reply:
+        readiness = self._readiness.readiness()
+        stopped = self._driver.replica_stopped_reason
+        now = asyncio.get_running_loop().time()
+        body = gateway_status(self._agent, readiness.ready, readiness.reason, stopped, now)
+        return Reply(200, msgspec.json.encode(body))
+
 
 def ready_handler(interface: ControlInterface) -> Callable[[ServerExchange], Awaitable[None]]:
     """Return the handler of the listener that only answers readiness checks."""
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -69,6 +69,9 @@
         self.agent = NodeAgent(settings.agent_settings(), opened.recovered, randomness, opened.claims)
         self.agent.gateway.least_fleet_retries = settings.fleet_retries
         self.driver = AgentDriver(self.agent, log, self.metrics)
+        if settings.data_folder and opened.store is None:
+            self.driver.replica_stopped_reason = opened.reason
+            self.metrics.set("replica_stopped", 1)
         self._transport = self._make_transport(randomness)
         self._storage = self._make_storage(opened)
         self.driver.attach(self._transport, self._storage)
--- a/src/springmux/node/gateway/replies.py
+++ b/src/springmux/node/gateway/replies.py
@@ -10,9 +10,12 @@
 from springmux.control.commands import AnyCommand, CommandResult, Outcome
 from springmux.node.driver import AgentDriver
 from springmux.node.http.types import Header
+from springmux.node.metrics import EXPOSITION_TYPE
 from springmux.vocabulary.errors import ErrorCode, FieldError
 
 JSON_HEADERS: tuple[Header, ...] = ((b"content-type", b"application/json"),)
+TEXT_HEADERS: tuple[Header, ...] = ((b"content-type", b"text/plain; charset=utf-8"),)
+METRICS_HEADERS: tuple[Header, ...] = ((b"content-type", EXPOSITION_TYPE.encode()),)
 COME_BACK_S = 0.3
 """An operator's client asks the next node at once; this one may have a leader again by then."""
 
--- a/src/springmux/node/metrics.py
+++ b/src/springmux/node/metrics.py
@@ -35,6 +35,8 @@
 
 
 PREFIX = "springmux_"
+EXPOSITION_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+"""Content type of the text exposition format."""
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
 LAG_BUCKETS_S = (0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0)
 FSYNC_BUCKETS_S = (0.0005, 0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0)
--- a/tests/unit/cli/support.py
+++ b/tests/unit/cli/support.py
@@ -28,6 +28,7 @@
     order_id: str | None
     operator: str | None
     body: Any
+    if_match: str | None = None
 
 
 @dataclass
@@ -55,7 +56,8 @@
             data = self.rfile.read(int(self.headers.get("Content-Length") or 0))
             body = json.loads(data) if data else None
             order_id, operator = self.headers.get("X-Order-Id"), self.headers.get("X-Operator")
-            admin.asked.append(Asked(self.command, self.path, order_id, operator, body))
+            if_match = self.headers.get("If-Match")
+            admin.asked.append(Asked(self.command, self.path, order_id, operator, body, if_match))
             answer = admin.next_answer(f"{self.command} {self.path}")
             if answer is None:
                 self.close_connection = True
--- a/tests/unit/cli/test_commands.py
+++ b/tests/unit/cli/test_commands.py
@@ -335,6 +335,17 @@
         return 1
 
     group: Any = typer.main.get_command(application)
-    names = ("node", "doctor", "status", "config", "tenant", "key", "rollout", "engine", "controller")
-    assert sum(walk(group.commands[name], name) for name in names) >= 30
+    names = (
+        "node",
+        "doctor",
+        "status",
+        "config",
+        "tenant",
+        "key",
+        "rollout",
+        "engine",
+        "controller",
+        "gateway",
+    )
+    assert sum(walk(group.commands[name], name) for name in names) >= 36
     assert "4 conflict" in run("config", "--help").stdout
