Refused and cut requests of the gateway are counted by reason and summed up in the log

Cause: nothing read GatewayCounters, `resumed` was never counted, and a refused request left no trace in log or metrics. What the HTTP server refused itself (400, 408, 431, too many connections, a handler's fault) or cut at its end was counted nowhere.

Change: RefusalReason, one typed list for both; GatewayCounters is the one place of the counts and /metrics serves it (springmux_gateway_*). The log has one `requests_refused` a reason and second at most, with the count and the first one's id and route: warning, or info where the caller is at fault. There is no timer while nothing is refused; the process's end writes what is open. The HTTP server tells a listener of its own refusals. `resumed` counts each time that a begun stream goes to a further engine.

Ruled out: a line a request (a full service would write thousands a second); counting in NodeMetrics on each request (the core is pure and has no metrics; they ask it at a scrape).

Tests: node_gateway/test_refusals.py, http/test_server_refusals.py; docs/test_operations.py compares the table of reasons and their levels with the code, and the readiness test now asks for the gateway's reasons too.

--- a/src/springmux/gateway/attempts.py
+++ b/src/springmux/gateway/attempts.py
@@ -8,6 +8,7 @@
 
 from springmux.control.gateway_configuration import GatewayRoute
 from springmux.coordination.retry_budget import RetryBudget
+from springmux.gateway.refusals import RefusalReason
 
 LEAST_TIME_LEFT_S = 0.05
 """With less time left another engine could not answer."""
@@ -85,23 +86,44 @@
 class Refusal(msgspec.Struct, frozen=True):
     """An answer of the gateway's own. ``retry_after_s`` is set exactly where the request has not run."""
 
+    reason: RefusalReason
     status: int
     code: str
     message: str
     retry_after_s: float | None = None
 
 
-NO_CONFIGURATION = Refusal(503, "not_ready", "this node knows no configuration yet", 1.0)
-NO_ROUTE = Refusal(404, "unknown_route", "no route of this host begins with this path")
-NO_KEY = Refusal(401, "unknown_key", "the key is missing or not valid")
-BODY_TOO_LARGE = Refusal(413, "body_too_large", "the body is larger than the limit")
-NO_ENGINE = Refusal(503, "no_engine", "no engine of the service can be reached", 1.0)
-ALL_FULL = Refusal(503, "overloaded", "the engines of the service are full", 0.15)
-FAILED = Refusal(502, "engine_broke_off", "no whole answer came from an engine; the request may have run")
-TOO_LATE = Refusal(504, "deadline_exceeded", "no answer within the time allowed; the request may have run")
-TOO_LATE_UNSENT = Refusal(503, "deadline_exceeded", "no engine took the request in time", 0.25)
+NO_CONFIGURATION = Refusal(
+    RefusalReason.NO_CONFIGURATION, 503, "not_ready", "this node knows no configuration yet", 1.0
+)
+NO_ROUTE = Refusal(
+    RefusalReason.UNKNOWN_ROUTE, 404, "unknown_route", "no route of this host begins with this path"
+)
+NO_KEY = Refusal(RefusalReason.UNKNOWN_KEY, 401, "unknown_key", "the key is missing or not valid")
+BODY_TOO_LARGE = Refusal(
+    RefusalReason.BODY_TOO_LARGE, 413, "body_too_large", "the body is larger than the limit"
+)
+NO_ENGINE = Refusal(RefusalReason.NO_ENGINE, 503, "no_engine", "no engine of the service can be reached", 1.0)
+ALL_FULL = Refusal(RefusalReason.ENGINES_FULL, 503, "overloaded", "the engines of the service are full", 0.15)
+FAILED = Refusal(
+    RefusalReason.ENGINE_BROKE_OFF,
+    502,
+    "engine_broke_off",
+    "no whole answer came from an engine; the request may have run",
+)
+TOO_LATE = Refusal(
+    RefusalReason.NO_ANSWER_IN_TIME,
+    504,
+    "deadline_exceeded",
+    "no answer within the time allowed; the request may have run",
+)
+TOO_LATE_UNSENT = Refusal(
+    RefusalReason.NOT_SENT_IN_TIME, 503, "deadline_exceeded", "no engine took the request in time", 0.25
+)
 
 
 def over_quota(retry_after_s: float) -> Refusal:
     """Return the refusal of a request that is over its tenant's quota."""
-    return Refusal(429, "quota_exceeded", "the tenant's quota is used up", retry_after_s)
+    return Refusal(
+        RefusalReason.QUOTA_EXCEEDED, 429, "quota_exceeded", "the tenant's quota is used up", retry_after_s
+    )
--- a/src/springmux/gateway/core.py
+++ b/src/springmux/gateway/core.py
@@ -11,6 +11,7 @@
 from springmux.coordination.retry_budget import RetryBudget
 from springmux.coordination.usage.part import UsagePart
 from springmux.gateway.placement import Placement
+from springmux.gateway.refusals import GatewayCounters
 from springmux.gateway.routing import RouteTable
 from springmux.rollout.outcome import VersionChooser
 from springmux.rollout.plan import RolloutRecord
@@ -23,17 +24,6 @@
 """A bound on each node bounds the fleet; the fleet's own is 0.2 (docs/notes/retries.md)."""
 
 
-class GatewayCounters(msgspec.Struct):
-    """Counts since the start, for status and logs."""
-
-    requests: int = 0
-    dispatches: int = 0
-    retries: int = 0
-    resumed: int = 0
-    refused: int = 0
-    failed: int = 0
-
-
 class RolloutInForce(msgspec.Struct, frozen=True):
     """A rollout's record with the monotonic time at which it came into force here."""
 
--- a/src/springmux/node/gateway/forwarder.py
+++ b/src/springmux/node/gateway/forwarder.py
@@ -12,9 +12,11 @@
 from springmux.gateway.attempts import Refusal
 from springmux.gateway.core import GatewayCore
 from springmux.gateway.prompt import parse_facts, quota_tokens
+from springmux.gateway.refusals import RefusalReason
 from springmux.gateway.routing import Admitted, KeyRefused, NoSuchRoute
 from springmux.node.gateway.forwarding import ForwardedRequest
 from springmux.node.gateway.headers import HeaderRules
+from springmux.node.gateway.refusal_log import RefusalLog
 from springmux.node.http.types import BodyTooLarge, ClientGone, EngineClient, ServerExchange
 from springmux.node.service_rates import ServiceRates
 
@@ -36,6 +38,7 @@
     headers: HeaderRules
     randomness: random.Random
     rates: ServiceRates
+    refusals: RefusalLog
 
 
 class Forwarder:
@@ -75,13 +78,13 @@
         try:
             body = await exchange.body()
         except BodyTooLarge:
-            self._refuse(exchange, attempts.BODY_TOO_LARGE)
+            self._refuse(exchange, attempts.BODY_TOO_LARGE, admitted)
             return
         now = asyncio.get_running_loop().time()
         usage = exchange.head.header(self._headers.names.token_usage)
         wait_s = self._take_quota(admitted, usage, now)
         if wait_s is not None:
-            self._refuse(exchange, attempts.over_quota(wait_s))
+            self._refuse(exchange, attempts.over_quota(wait_s), admitted)
             return
         await self._forward(exchange, admitted, body)
 
@@ -112,7 +115,7 @@
         facts = parse_facts(head.header(names.prompt_prefix), head.header(names.token_usage))
         deadline = exchange.received_at + self._allowed_s(exchange, admitted)
         if asyncio.get_running_loop().time() >= deadline:
-            self._refuse(exchange, attempts.TOO_LATE_UNSENT)
+            self._refuse(exchange, attempts.TOO_LATE_UNSENT, admitted)
             return
         request = ForwardedRequest(self._services, exchange, admitted, facts, body, deadline)
         try:
@@ -126,7 +129,7 @@
                 usage = head.header(names.token_usage)
                 now = asyncio.get_running_loop().time()
                 self._core.usage.give_back(tenant.name, quota_tokens(tenant, usage), now)
-            self._refuse(exchange, refusal)
+            self._refuse(exchange, refusal, admitted)
 
     def _allowed_s(self, exchange: ServerExchange, admitted: Admitted) -> float:
         allowed_ms = admitted.route.timeout_ms
@@ -135,11 +138,10 @@
             allowed_ms = min(allowed_ms, float(stated))
         return allowed_ms / 1000.0
 
-    def _refuse(self, exchange: ServerExchange, refusal: Refusal) -> None:
-        if refusal.retry_after_s is not None:
-            self._core.counters.refused += 1
-        else:
-            self._core.counters.failed += 1
+    def _refuse(self, exchange: ServerExchange, refusal: Refusal, admitted: Admitted | None = None) -> None:
+        reason = RefusalReason.ANSWER_CUT if exchange.begun else refusal.reason
+        route = admitted.route.name if admitted is not None else ""
+        self._services.refusals.note(reason, exchange.head, route)
         if exchange.begun:
             exchange.abort()
             return
--- a/src/springmux/node/gateway/forwarding.py
+++ b/src/springmux/node/gateway/forwarding.py
@@ -82,6 +82,8 @@
                 return self._give_up(last, attempts.NO_ENGINE)
             if last is not None and last.end is not AttemptEnd.UNSENT:
                 core.counters.retries += 1
+                if self.exchange.begun and last.end is AttemptEnd.MAY_HAVE_RUN:
+                    core.counters.resumed += 1
             last = await self._attempt(selection, record)
             if last.end is None:
                 return None
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -20,6 +20,7 @@
 from springmux.node.gateway.control_interface import ControlInterface, ReadyBody, ready_handler
 from springmux.node.gateway.forwarder import Forwarder, ForwarderServices
 from springmux.node.gateway.headers import HeaderRules
+from springmux.node.gateway.refusal_log import RefusalLog, counter_values
 from springmux.node.gateway.settings import GatewaySettings, load_gateway_settings
 from springmux.node.http.client import PooledEngineClient
 from springmux.node.http.server import HttpServer
@@ -77,15 +78,19 @@
         self.driver.attach(self._transport, self._storage)
         self._client = PooledEngineClient()
         self._rates = ServiceRates()
+        counters = self.agent.gateway.counters
+        self._refusals = RefusalLog(counters, log, names.request_id)
+        self.metrics.add_source(lambda: counter_values(counters))
         services = ForwarderServices(
             core=self.agent.gateway,
             client=self._client,
             headers=HeaderRules(names),
             randomness=random.Random(randomness.getrandbits(64)),
             rates=self._rates,
+            refusals=self._refusals,
         )
         control = ControlInterface(settings, self.agent, self.driver, self.metrics, self, self._rates)
-        self._front = HttpServer(Forwarder(services).handle, self._front_limits)
+        self._front = HttpServer(Forwarder(services).handle, self._front_limits, self._refusals.note_server)
         self._control = HttpServer(control.handle, lambda: CONTROL_LIMITS)
         self._ready = HttpServer(ready_handler(control), lambda: CONTROL_LIMITS)
 
@@ -157,6 +162,7 @@
         self.driver.abandon_waiters()
         for server in (self._front, self._control, self._ready):
             server.close()
+        self._refusals.flush()
         self._client.close()
         await self._transport.close()
         if self._storage is not None:
--- /dev/null
+++ b/src/springmux/node/gateway/refusal_log.py
@@ -0,0 +1,76 @@
+"""Counts refused and cut requests, and logs them as at most one summary for each reason and second."""
+
+from __future__ import annotations
+
+import asyncio
+
+from springmux.coordination.kernel import NoteLevel
+from springmux.gateway.refusals import CALLERS_FAULTS, GatewayCounters, RefusalReason, RefusalTally
+from springmux.node.http.types import RequestHead, ServerRefusal
+from springmux.node.logs import EventLog
+
+SUMMARY_PERIOD_S = 1.0
+MAX_ID_LENGTH = 100
+"""A longer request id, which the caller makes, is cut in the log."""
+
+_OF_THE_SERVER = {
+    ServerRefusal.MALFORMED: RefusalReason.MALFORMED_REQUEST,
+    ServerRefusal.TOO_SLOW: RefusalReason.SLOW_REQUEST,
+    ServerRefusal.HEADERS_TOO_LARGE: RefusalReason.HEADERS_TOO_LARGE,
+    ServerRefusal.TOO_MANY_CONNECTIONS: RefusalReason.TOO_MANY_CONNECTIONS,
+    ServerRefusal.HANDLER_FAILED: RefusalReason.INTERNAL_FAULT,
+    ServerRefusal.STOPPED: RefusalReason.STOPPED,
+}
+
+
+class RefusalLog:
+    """Writes summaries while there are refusals; a node that refuses nothing has no timer."""
+
+    def __init__(self, counters: GatewayCounters, log: EventLog, request_id_header: bytes) -> None:
+        self._counters = counters
+        self._log = log
+        self._request_id_header = request_id_header
+        self._tally = RefusalTally()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def note(self, reason: RefusalReason, head: RequestHead | None, route: str = "") -> None:
+        """Take one refusal. ``head``: the request's, if it was read."""
+        refusals = self._counters.refusals
+        refusals[reason] = refusals.get(reason, 0) + 1
+        request_id = head.header(self._request_id_header) if head is not None else None
+        self._tally.note(reason, (request_id or b"")[:MAX_ID_LENGTH].decode("latin-1"), route)
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(SUMMARY_PERIOD_S, self.flush)
+
+    def note_server(self, refusal: ServerRefusal, head: RequestHead | None) -> None:
+        """Take a refusal of the HTTP server, which the forwarder doesn't see."""
+        self.note(_OF_THE_SERVER[refusal], head)
+
+    def flush(self) -> None:
+        """Write what is open, at the end of a period or of the process."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for summary in self._tally.take():
+            level = NoteLevel.INFO if summary.reason in CALLERS_FAULTS else NoteLevel.WARNING
+            self._log.write(
+                "requests_refused",
+                level,
+                reason=summary.reason.value,
+                count=summary.count,
+                request_id=summary.request_id,
+                route=summary.route,
+            )
+
+
+def counter_values(counters: GatewayCounters) -> dict[tuple[str, ...], float]:
+    """Return the counters as values of :data:`springmux.node.metrics.METRICS`."""
+    values: dict[tuple[str, ...], float] = {
+        ("gateway_requests_total",): counters.requests,
+        ("gateway_dispatches_total",): counters.dispatches,
+        ("gateway_retries_total",): counters.retries,
+        ("gateway_resumed_total",): counters.resumed,
+    }
+    for reason, count in counters.refusals.items():
+        values["gateway_refusals_total", reason.value] = count
+    return values
--- a/src/springmux/node/http/connection_owner.py
+++ b/src/springmux/node/http/connection_owner.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from springmux.node.http.types import ServerLimits
+from springmux.node.http.types import RequestHead, ServerLimits, ServerRefusal
 
 if TYPE_CHECKING:
     from springmux.node.http.server_connection import ServerConnection
@@ -24,6 +24,10 @@
         """Take in a new connection; ``False`` if there are too many."""
         ...
 
+    def refused(self, refusal: ServerRefusal, head: RequestHead | None) -> None:
+        """Note that a request was refused or cut. ``head``: the request's, if it was read."""
+        ...
+
     def disconnected(self, connection: ServerConnection) -> None:
         """Forget a connection."""
         ...
--- a/src/springmux/node/http/server.py
+++ b/src/springmux/node/http/server.py
@@ -9,7 +9,15 @@
 from springmux.node.http.framing import describe_exception
 from springmux.node.http.server_connection import ServerConnection
 from springmux.node.http.server_exchange import HttpServerExchange
-from springmux.node.http.types import BodyTooLarge, ClientGone, Handler, ServerLimits
+from springmux.node.http.types import (
+    BodyTooLarge,
+    ClientGone,
+    Handler,
+    RefusalListener,
+    RequestHead,
+    ServerLimits,
+    ServerRefusal,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -22,12 +30,19 @@
     """Serves requests of clients, each in a task of its own.
 
     :param limits: asked anew for each request, so that a change holds on open connections too.
+    :param on_refused: told of every request that the server itself refuses or cuts.
     """
 
-    def __init__(self, handler: Handler, limits: Callable[[], ServerLimits]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], ServerLimits],
+        on_refused: RefusalListener = lambda refusal, head: None,
+    ) -> None:
         self.stopping = False
         self._handler = handler
         self._limits = limits
+        self._on_refused = on_refused
         self._listener: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
         self._refused: set[ServerConnection] = set()
@@ -78,7 +93,7 @@
         """Reset every connection and cancel every handler."""
         self.stop_accepting()
         for connection in (*self._connections, *self._refused):
-            connection.reset()
+            connection.cut()
         for task in tuple(self._tasks):
             task.cancel()
 
@@ -97,6 +112,10 @@
         self._connections.add(connection)
         return True
 
+    def refused(self, refusal: ServerRefusal, head: RequestHead | None) -> None:
+        """Tell the listener of a refusal."""
+        self._on_refused(refusal, head)
+
     def disconnected(self, connection: ServerConnection) -> None:
         """Forget a connection."""
         self._connections.discard(connection)
@@ -135,7 +154,11 @@
             raise
         except Exception as error:
             _log.error("http_handler_failed error=%s", describe_exception(error))
-            exchange.fail(500)
+            self._fail(exchange)
         else:
             # A handler that returns without an end has a fault too.
-            exchange.fail(500)
+            self._fail(exchange)
+
+    def _fail(self, exchange: HttpServerExchange) -> None:
+        if exchange.fail(500):
+            self._on_refused(ServerRefusal.HANDLER_FAILED, exchange.head)
--- a/src/springmux/node/http/server_connection.py
+++ b/src/springmux/node/http/server_connection.py
@@ -13,7 +13,7 @@
 from springmux.node.http.heads import MalformedMessage, RequestHeadReader
 from springmux.node.http.server_exchange import HttpServerExchange
 from springmux.node.http.sockets import reset, send_without_delay
-from springmux.node.http.types import Header
+from springmux.node.http.types import Header, RequestHead, ServerRefusal
 from springmux.node.http.write_gate import WriteGate
 
 # What a body may take beyond the header timeout (the task's figure).
@@ -24,6 +24,12 @@
 # Pipelined bytes kept before reading stops. Reading goes on until then, so that the client's end is noticed.
 _MAX_KEPT_BYTES = 64 * 1024
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_STATUSES = {
+    ServerRefusal.MALFORMED: 400,
+    ServerRefusal.TOO_SLOW: 408,
+    ServerRefusal.HEADERS_TOO_LARGE: 431,
+    ServerRefusal.TOO_MANY_CONNECTIONS: 503,
+}
 
 
 class _Phase(enum.Enum):
@@ -63,7 +69,7 @@
             # A first request has the header timeout: nothing says yet that the client will come again.
             self._set_timer(self._limits.header_timeout_s, self._close)
         else:
-            self._refuse(503, ((b"retry-after", b"1"),))
+            self._refuse(ServerRefusal.TOO_MANY_CONNECTIONS, headers=((b"retry-after", b"1"),))
 
     def data_received(self, data: bytes) -> None:
         """Take bytes, in every phase."""
@@ -147,6 +153,12 @@
 
     # Called by the server.
 
+    def cut(self) -> None:
+        """Reset the connection, whatever it is at."""
+        if self._exchange is not None:
+            self._owner.refused(ServerRefusal.STOPPED, self._exchange.head)
+        self.reset()
+
     def close_if_idle(self) -> None:
         """Close if nothing of a request has come."""
         if self._phase is _Phase.IDLE and not self._kept:
@@ -177,17 +189,17 @@
         try:
             used = self._reader.feed(data)
             if self._reader.size_bytes > self._limits.max_header_bytes:
-                self._refuse(431)
+                self._refuse(ServerRefusal.HEADERS_TOO_LARGE)
             elif used is not None:
                 self._begin_exchange(self._reader, data[used:])
         except MalformedMessage:
-            self._refuse(400)
+            self._refuse(ServerRefusal.MALFORMED)
 
     def _begin_head(self) -> None:
         self._phase = _Phase.HEAD
         self._limits = self._owner.limits_now()
         self._reader = RequestHeadReader()
-        self._set_timer(self._limits.header_timeout_s, self._refuse, 408)
+        self._set_timer(self._limits.header_timeout_s, self._refuse, ServerRefusal.TOO_SLOW)
 
     def _begin_exchange(self, reader: RequestHeadReader, rest: bytes) -> None:
         head = reader.head()
@@ -226,7 +238,7 @@
         try:
             rest = exchange.feed(data)
         except MalformedMessage:
-            self._give_up(exchange, 400)
+            self._give_up(exchange, ServerRefusal.MALFORMED)
             return
         if exchange.too_large:
             self._read_on(False)
@@ -252,15 +264,16 @@
 
     def _body_is_late(self) -> None:
         if self._exchange is not None:
-            self._give_up(self._exchange, 408)
+            self._give_up(self._exchange, ServerRefusal.TOO_SLOW)
 
-    def _give_up(self, exchange: HttpServerExchange, status: int) -> None:
+    def _give_up(self, exchange: HttpServerExchange, refusal: ServerRefusal) -> None:
         """End an exchange for the client's fault; its handler sees the client gone."""
         if exchange.begun:
+            self._owner.refused(refusal, exchange.head)
             self.reset()
             return
         self._leave()
-        self._refuse(status)
+        self._refuse(refusal, exchange.head)
 
     def _leave(self) -> None:
         exchange, self._exchange = self._exchange, None
@@ -269,9 +282,12 @@
             self._gate.open()
             self._owner.closed()
 
-    def _refuse(self, status: int, headers: tuple[Header, ...] = ()) -> None:
+    def _refuse(
+        self, refusal: ServerRefusal, head: RequestHead | None = None, headers: tuple[Header, ...] = ()
+    ) -> None:
+        self._owner.refused(refusal, head)
         framing = ((b"content-length", b"0"), (b"connection", b"close"))
-        self._transport.write(encode_answer_head(status, headers, framing))
+        self._transport.write(encode_answer_head(_STATUSES[refusal], headers, framing))
         self._linger()
 
     def _linger(self) -> None:
@@ -290,7 +306,9 @@
         self._transport.close()
         self._set_timer(self._limits.idle_timeout_s, self._transport.abort)
 
-    def _set_timer(self, delay_s: float | None, call: Callable[..., None] = lambda: None, *args: int) -> None:
+    def _set_timer(
+        self, delay_s: float | None, call: Callable[..., None] = lambda: None, *args: ServerRefusal
+    ) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/src/springmux/node/http/server_exchange.py
+++ b/src/springmux/node/http/server_exchange.py
@@ -174,14 +174,18 @@
             self._wake()
         return self._decoder.rest
 
-    def fail(self, status: int) -> None:
-        """Give the exchange up: with an answer if nothing of one was sent, else with a reset."""
+    def fail(self, status: int) -> bool:
+        """Give the exchange up: with an answer if nothing of one was sent, else with a reset.
+
+        Returns whether it hadn't ended already.
+        """
         if self._ended():
-            return
+            return False
         if self._begun:
             self.abort()
         else:
             self.respond(status, (), b"")
+        return True
 
     def leave(self) -> None:
         """Note that the client is gone: whoever waits gets ClientGone."""
--- a/src/springmux/node/http/types.py
+++ b/src/springmux/node/http/types.py
@@ -102,6 +102,27 @@
 Handler = Callable[[ServerExchange], Awaitable[None]]
 
 
+class ServerRefusal(enum.StrEnum):
+    """Why the server itself refused or cut a request, so that its handler didn't answer it."""
+
+    MALFORMED = "malformed"
+    """Not HTTP: 400, or a reset if an answer has begun."""
+    TOO_SLOW = "too_slow"
+    """The head or the body came too slowly: 408, or a reset if an answer has begun."""
+    HEADERS_TOO_LARGE = "headers_too_large"
+    """The head is over the limit: 431."""
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    """A new connection over the limit: 503."""
+    HANDLER_FAILED = "handler_failed"
+    """The handler raised an exception or returned without an answer: 500, or a reset."""
+    STOPPED = "stopped"
+    """The server closed before the answer's end: a reset."""
+
+
+RefusalListener = Callable[[ServerRefusal, RequestHead | None], None]
+"""Gets each refusal of the server, with the request's head if it was read."""
+
+
 class ServerLimits(msgspec.Struct, frozen=True):
     """Bounds of a listener; read anew for each request, so that a change holds on open connections too."""
 
--- a/src/springmux/node/metrics.py
+++ b/src/springmux/node/metrics.py
@@ -4,6 +4,7 @@
 
 import enum
 from bisect import bisect_left
+from collections.abc import Callable, Mapping
 from itertools import accumulate
 
 import msgspec
@@ -66,6 +67,11 @@
     MetricSpec("storage_failures_total", _C, "Storage operations that failed.", ("kind",)),
     MetricSpec("storage_waiting_seconds", _G, "Age of the oldest waiting storage operation."),
     MetricSpec("orders_total", _C, "Operators' orders by outcome.", ("outcome",)),
+    MetricSpec("gateway_requests_total", _C, "Requests to the gateway whose head was read."),
+    MetricSpec("gateway_dispatches_total", _C, "Attempts of the gateway at engines."),
+    MetricSpec("gateway_retries_total", _C, "Attempts at another engine after one that had the request."),
+    MetricSpec("gateway_resumed_total", _C, "Streams begun that another engine was asked to go on with."),
+    MetricSpec("gateway_refusals_total", _C, "Requests that the gateway refused or cut.", ("reason",)),
     MetricSpec("ready", _G, "1 while the node is ready."),
     MetricSpec("control_revision", _G, "Revision of the control state in force here."),
     MetricSpec("replica_stopped", _G, "1 if this node's replica stopped."),
@@ -75,6 +81,8 @@
 _SPECS = {spec.name: spec for spec in METRICS}
 _Place = tuple[str, ...]
 """A metric's name and its labels' values."""
+MetricsSource = Callable[[], Mapping[_Place, float]]
+"""Returns the present values of metrics that are counted elsewhere."""
 
 
 class _Observations:
@@ -100,12 +108,17 @@
     def __init__(self) -> None:
         self._values: dict[_Place, float] = {}
         self._histograms: dict[str, _Observations] = {}
+        self._sources: list[MetricsSource] = []
         for spec in METRICS:
             if spec.kind is MetricKind.HISTOGRAM:
                 self._histograms[spec.name] = _Observations(spec.buckets)
             elif not spec.labels:
                 self._values[(spec.name,)] = 0.0
 
+    def add_source(self, source: MetricsSource) -> None:
+        """Have ``source`` asked at each exposition for counters and gauges of the table."""
+        self._sources.append(source)
+
     def count(self, name: str, *labels: str, amount: float = 1) -> None:
         """Add ``amount`` to a counter of the table.
 
@@ -137,7 +150,10 @@
         """Return the text exposition format. The library is loaded at the first scrape."""
         from springmux.node.metrics_exposition import render
 
-        return render(METRICS, dict(self._values), {n: self._buckets(n) for n in self._histograms})
+        values = dict(self._values)
+        for source in self._sources:
+            values.update(source())
+        return render(METRICS, values, {n: self._buckets(n) for n in self._histograms})
 
     def _buckets(self, name: str) -> HistogramState:
         observations = self._histograms[name]
--- a/tests/unit/docs/test_operations.py
+++ b/tests/unit/docs/test_operations.py
@@ -4,7 +4,8 @@
 import re
 from collections.abc import Iterator
 
-from springmux.agent import readiness
+from springmux.agent import gateway_readiness, readiness
+from springmux.gateway.refusals import CALLERS_FAULTS, RefusalReason
 from springmux.node.metrics import METRICS, PREFIX
 from springmux.vocabulary.errors import ErrorCode
 from tests.unit.docs import pages
@@ -48,6 +49,14 @@
     assert column("Log events") == found
 
 
+def test_every_reason_of_a_refused_request_has_its_advice() -> None:
+    rows = pages.rows(pages.section("OPERATIONS.md", "Refusals of the gateway"))
+    levels = {pages.spans(row[0])[0]: row[1] for row in rows}
+    assert levels == {
+        reason.value: "info" if reason in CALLERS_FAULTS else "warning" for reason in RefusalReason
+    }
+
+
 def test_every_metric_named_exists() -> None:
     text = (pages.ROOT / "docs" / "OPERATIONS.md").read_text("utf-8")
     named = set(re.findall(rf"{PREFIX}[a-z_]+(?=[` ])", text))
@@ -64,4 +73,12 @@
         readiness.STOPPING,
         readiness.UNREADABLE,
     }
+    reasons |= {
+        gateway_readiness.STARTING,
+        gateway_readiness.STOPPING,
+        gateway_readiness.UNREADABLE,
+        gateway_readiness.NO_CONFIGURATION,
+        gateway_readiness.OLDER_STATE,
+        gateway_readiness.FETCHING_ENGINES,
+    }
     assert reasons <= set(pages.spans(pages.section("OPERATIONS.md", "Read status and metrics")))
--- a/tests/unit/http/wires.py
+++ b/tests/unit/http/wires.py
@@ -10,7 +10,7 @@
 
 from springmux.node.http.client import PooledEngineClient
 from springmux.node.http.server import HttpServer
-from springmux.node.http.types import AnswerHead, Handler, RequestHead, ServerLimits
+from springmux.node.http.types import AnswerHead, Handler, RequestHead, ServerLimits, ServerRefusal
 
 PATIENCE_S = 10.0
 """After this a test is stuck; no test waits for it in good order."""
@@ -64,10 +64,15 @@
 
     def __init__(self, handler: Handler, limits: ServerLimits) -> None:
         self.limits = limits
-        self.server = HttpServer(handler, lambda: self.limits)
+        self.refused: list[tuple[ServerRefusal, bytes | None]] = []
+        """Refusals of the server with the request's target, if its head was read."""
+        self.server = HttpServer(handler, lambda: self.limits, self._on_refused)
         self.port = 0
         self.wires: list[Wire] = []
 
+    def _on_refused(self, refusal: ServerRefusal, head: RequestHead | None) -> None:
+        self.refused.append((refusal, head.target if head is not None else None))
+
     async def wire(self) -> Wire:
         wire = Wire(*await asyncio.open_connection("127.0.0.1", self.port))
         self.wires.append(wire)
--- a/tests/unit/node_gateway/stand_ins.py
+++ b/tests/unit/node_gateway/stand_ins.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import io
+import json
 import random
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -24,7 +26,9 @@
 from springmux.gateway.dialect import OWN_HEADERS
 from springmux.node.gateway.forwarder import Forwarder, ForwarderServices
 from springmux.node.gateway.headers import HeaderRules
+from springmux.node.gateway.refusal_log import RefusalLog
 from springmux.node.http.types import BodyTooLarge, ClientGone, Header, RequestHead
+from springmux.node.logs import EventLog
 from springmux.node.service_rates import ServiceRates
 from springmux.rollout.outcome import FirstTokenWatch, PromptOutcome, VersionChoice
 from springmux.vocabulary.engines import EngineRecord, EnginesView
@@ -186,9 +190,18 @@
         records = {f"e{number}": record(number, version) for number, version in enumerate(versions)}
         known = {EngineId(name): found for name, found in records.items()}
         self.core.update_engines(EnginesView(known, dict.fromkeys(known, -100.0), {}), now())
+        self._written = io.StringIO()
+        self.refusals = RefusalLog(
+            self.core.counters, EventLog("n1", output=self._written), OWN_HEADERS.request_id
+        )
         self.forwarder = Forwarder(
             ForwarderServices(
-                self.core, self.client, HeaderRules(OWN_HEADERS), random.Random(3), ServiceRates()
+                self.core,
+                self.client,
+                HeaderRules(OWN_HEADERS),
+                random.Random(3),
+                ServiceRates(),
+                self.refusals,
             )
         )
 
@@ -198,6 +211,11 @@
         await self.forwarder.handle(caller)
         return caller
 
+    @property
+    def logged(self) -> list[dict[str, Any]]:
+        """Lines of the log."""
+        return [json.loads(line) for line in self._written.getvalue().splitlines()]
+
     @property
     def sent(self) -> list[Sent]:
         return self.client.sent
