One piece for the life of a node's process and one for waiting for an order

Cause: the gateway's process repeated the other daemon's wait and its loop that begins anew with a new replica, and had drifted from it: a data folder in use ended it with a traceback instead of exit 1 and `data_folder_locked`, and a crash during the orderly stop ended with 0. Waiting for an order's answer was written twice as well.

What a stop does stays each daemon's own: they stop in different orders.

--- a/src/springmux/node/admin_orders.py
+++ b/src/springmux/node/admin_orders.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 import uuid
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 from springmux.node.answers import error_headers
 from springmux.node.driver import AgentDriver, OrderCallback
 from springmux.node.metrics import NodeMetrics
+from springmux.node.order_wait import answer_of
 from springmux.vocabulary.errors import ApiError, ApiErrorRaised, ErrorCode, Fate
 from springmux.vocabulary.names import OrderId
 
@@ -87,21 +87,8 @@
         answered = await self._wait(lambda callback: self._driver.submit_removal(replica, callback))
         return self._response(answered, ErrorCode.INVALID_ORDER)
 
-    async def _wait(self, submit: Callable[[OrderCallback], str]) -> OrderAnswered:
-        answer: asyncio.Future[OrderAnswered] = asyncio.get_running_loop().create_future()
-
-        def take(answered: OrderAnswered) -> None:
-            if not answer.done():
-                answer.set_result(answered)
-
-        ticket = submit(take)
-        try:
-            async with asyncio.timeout(self._timeout_s):
-                return await answer
-        except TimeoutError:
-            return OrderAnswered(ticket=ticket, result=None, error=self._unknown())
-        finally:
-            self._driver.forget_order(ticket)
+    async def _wait(self, submit: Callable[[OrderCallback], str]) -> OrderAnswered | None:
+        return await answer_of(self._driver, submit, self._timeout_s)
 
     def _unknown(self) -> ApiError:
         return ApiError(
@@ -112,10 +99,10 @@
             retry_after_s=1.0,
         )
 
-    def _response(self, answered: OrderAnswered, conflict: ErrorCode) -> web.Response:
-        result = answered.result
+    def _response(self, answered: OrderAnswered | None, conflict: ErrorCode) -> web.Response:
+        result = answered.result if answered is not None else None
         if result is None:
-            error = answered.error or self._unknown()
+            error = (answered.error if answered is not None else None) or self._unknown()
             self._metrics.count("orders_total", error.code)
             raise ApiErrorRaised(error)
         self._metrics.count("orders_total", result.outcome)
--- a/src/springmux/node/daemon.py
+++ b/src/springmux/node/daemon.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import uuid
-from typing import Any
 
 from springmux.agent.agent import NodeAgent
 from springmux.agent.events import StopBegun
@@ -19,6 +18,7 @@
 from springmux.node.engine_prober import EngineProber
 from springmux.node.fault_injection import FaultInjector
 from springmux.node.health import NodeHealth
+from springmux.node.lifecycle import EXIT_CRASHED, EXIT_KILLED, present_end, run_nodes, wait_for_end
 from springmux.node.logs import EventLog
 from springmux.node.metrics import NodeMetrics
 from springmux.node.peer_hello import HelloKeeper
@@ -26,19 +26,11 @@
 from springmux.node.request_runner import RunnerServices
 from springmux.node.rollout_history import SAMPLE_PERIOD_S, RolloutHistory
 from springmux.node.settings import NodeSettings
-from springmux.node.storage_open import OpenedStorage, open_storage, set_aside_replica
+from springmux.node.storage_open import OpenedStorage
 from springmux.node.storage_worker import StorageWorker
 from springmux.node.upstream import UpstreamClient
-from springmux.storage.disk import FolderLocked
 from springmux.storage.real_disk import RealDisk
 
-EXIT_STOPPED = 0
-EXIT_CANNOT_START = 1
-EXIT_CRASHED = 70
-"""``EX_SOFTWARE`` of sysexits.h: an internal fault; a supervisor should start the process again."""
-EXIT_KILLED = 130
-BEGIN_ANEW = -1
-"""Not an exit code: the replica's folder is of no use, run again in this process with an empty one."""
 STORAGE_STOP_S = 2.0
 LEAVE_MESSAGES_S = 0.2
 """Time for the messages that say this node is leaving."""
@@ -132,18 +124,10 @@
 
     async def wait(self) -> int:
         """Wait for a stop or a crash, and stop. Returns the exit code, or :data:`BEGIN_ANEW`."""
-        stopping = asyncio.ensure_future(self.stop_requested.wait())
-        given_up = asyncio.ensure_future(self.driver.replica_given_up.wait())
-        awaited: set[asyncio.Future[Any]] = {stopping, given_up, self.driver.crashed}
-        await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
-        stopping.cancel()
-        given_up.cancel()
-        if self.driver.crashed.done():
+        if await wait_for_end(self.driver, self.stop_requested) == EXIT_CRASHED:
             return EXIT_CRASHED
         await self.stop()
-        if self.driver.crashed.done():
-            return EXIT_CRASHED
-        return EXIT_STOPPED if self.stop_requested.is_set() else BEGIN_ANEW
+        return present_end(self.driver, self.stop_requested)
 
     async def stop(self) -> None:
         """Stop in order: not ready, leave, stop accepting, finish streams, close."""
@@ -191,29 +175,11 @@
     """Run node after node until one stops; all but the first with a new replica. Returns the exit code."""
     injector = FaultInjector() if settings.fault_injection else None
     make_disk = injector.disk if injector is not None else RealDisk
-    ending = BEGIN_ANEW
-    try:
-        while ending == BEGIN_ANEW:
-            opened = OpenedStorage(store=None, recovered=None)
-            if settings.data_folder is not None:
-                opened = await asyncio.to_thread(open_storage, settings.data_folder, log, make_disk)
-            ending = await _run_once(NodeProcess(settings, opened, log, injector, stop_requested), log)
-            if ending == BEGIN_ANEW and settings.data_folder is not None:
-                await asyncio.to_thread(set_aside_replica, settings.data_folder, log, make_disk)
-    except FolderLocked as error:
-        log.write("data_folder_locked", NoteLevel.ERROR, reason=str(error), action="stop the other process")
-        return EXIT_CANNOT_START
-    return ending
-
-
-async def _run_once(process: NodeProcess, log: EventLog) -> int:
-    try:
-        await process.start()
-    except OSError as error:
-        log.write("cannot_listen", NoteLevel.ERROR, reason=str(error), action="free the address or change it")
-        await process.close()
-        return EXIT_CANNOT_START
-    return await process.wait()
+
+    def make_node(opened: OpenedStorage) -> NodeProcess:
+        return NodeProcess(settings, opened, log, injector, stop_requested)
+
+    return await run_nodes(settings.data_folder, make_node, log, make_disk)
 
 
 def _handle_signals(stop_requested: asyncio.Event, log: EventLog) -> None:
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -7,7 +7,6 @@
 import random
 import signal
 from pathlib import Path
-from typing import Any
 
 from springmux.agent.agent import NodeAgent
 from springmux.agent.events import StopBegun
@@ -25,22 +24,23 @@
 from springmux.node.http.client import PooledEngineClient
 from springmux.node.http.server import HttpServer
 from springmux.node.http.types import ServerLimits
+from springmux.node.lifecycle import (
+    BEGIN_ANEW,
+    EXIT_CRASHED,
+    EXIT_WRONG_SETTINGS,
+    present_end,
+    run_nodes,
+    wait_for_end,
+)
 from springmux.node.logs import EventLog
 from springmux.node.metrics import NodeMetrics
 from springmux.node.peer_hello import HelloKeeper
 from springmux.node.peer_transport import PeerTransport
 from springmux.node.service_rates import ServiceRates
-from springmux.node.storage_open import OpenedStorage, open_storage, set_aside_replica
+from springmux.node.storage_open import OpenedStorage
 from springmux.node.storage_worker import StorageWorker
 from springmux.vocabulary.errors import SettingsError
 
-EXIT_STOPPED = 0
-EXIT_CANNOT_START = 1
-EXIT_WRONG_SETTINGS = 2
-EXIT_CRASHED = 70
-"""``EX_SOFTWARE`` of sysexits.h."""
-BEGIN_ANEW = -1
-"""Not an exit code: run again in this process with a new replica."""
 STORAGE_STOP_S = 1.0
 STILL_ACCEPTING_S = 2.5
 """After a stop is asked for, callers still come until the platform's readiness checks have noticed."""
@@ -58,10 +58,16 @@
     """Everything of one running gateway node."""
 
     def __init__(
-        self, settings: GatewaySettings, names: HeaderNames, opened: OpenedStorage, log: EventLog
+        self,
+        settings: GatewaySettings,
+        names: HeaderNames,
+        opened: OpenedStorage,
+        log: EventLog,
+        stop_requested: asyncio.Event,
     ) -> None:
         self._settings = settings
         self._log = log
+        self._stop_requested = stop_requested
         self._stopping = False
         self._loads_timer: asyncio.TimerHandle | None = None
         self._rates_timer: asyncio.TimerHandle | None = None
@@ -124,21 +130,16 @@
         self._sample_rates()
         self._log.write("node_started", zone=settings.zone, fleet=settings.fleet)
 
-    async def wait(self, stop_requested: asyncio.Event) -> int:
+    async def wait(self) -> int:
         """Wait for a stop or a crash, and stop. Returns the exit code, or :data:`BEGIN_ANEW`."""
-        stopping = asyncio.ensure_future(stop_requested.wait())
-        given_up = asyncio.ensure_future(self.driver.replica_given_up.wait())
-        awaited: set[asyncio.Future[Any]] = {stopping, given_up, self.driver.crashed}
-        await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
-        stopping.cancel()
-        given_up.cancel()
-        if self.driver.crashed.done():
+        ending = await wait_for_end(self.driver, self._stop_requested)
+        if ending == EXIT_CRASHED:
             return EXIT_CRASHED
-        if not stop_requested.is_set():
+        if ending == BEGIN_ANEW:
             await self.close()
             return BEGIN_ANEW
         await self._stop()
-        return EXIT_STOPPED
+        return present_end(self.driver, self._stop_requested)
 
     async def _stop(self) -> None:
         """Stop in order: not ready, hand over leadership, finish every request that was read, close."""
@@ -220,26 +221,12 @@
     async def run(self) -> int:
         """Run until stopped; return the exit code."""
         self._handle_signals()
-        ending = BEGIN_ANEW
-        while ending == BEGIN_ANEW:
-            opened = await self._open()
-            self._process = GatewayProcess(self._settings, self._names, opened, self._log)
-            try:
-                await self._process.start()
-            except OSError as error:
-                self._log.write("cannot_listen", NoteLevel.ERROR, reason=str(error))
-                await self._process.close()
-                return EXIT_CANNOT_START
-            ending = await self._process.wait(self._stop_requested)
-            if ending == BEGIN_ANEW:
-                folder = Path(self._settings.data_folder)
-                await asyncio.to_thread(set_aside_replica, folder, self._log)
-        return ending
+        folder = Path(self._settings.data_folder) if self._settings.data_folder else None
+        return await run_nodes(folder, self._make_process, self._log)
 
-    async def _open(self) -> OpenedStorage:
-        if not self._settings.data_folder:
-            return OpenedStorage(store=None, recovered=None)
-        return await asyncio.to_thread(open_storage, Path(self._settings.data_folder), self._log)
+    def _make_process(self, opened: OpenedStorage) -> GatewayProcess:
+        self._process = GatewayProcess(self._settings, self._names, opened, self._log, self._stop_requested)
+        return self._process
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/springmux/node/gateway/replies.py
+++ b/src/springmux/node/gateway/replies.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import msgspec
 
 from springmux.agent.effects import OrderAnswered
@@ -11,6 +9,7 @@
 from springmux.node.driver import AgentDriver
 from springmux.node.http.types import Header
 from springmux.node.metrics import EXPOSITION_TYPE
+from springmux.node.order_wait import answer_of
 from springmux.vocabulary.errors import ErrorCode, FieldError
 
 JSON_HEADERS: tuple[Header, ...] = ((b"content-type", b"application/json"),)
@@ -49,20 +48,7 @@
 
 async def submit(driver: AgentDriver, command: AnyCommand, timeout_s: float) -> OrderAnswered | None:
     """Submit an order and wait for its answer; ``None`` if none came in time: its fate is unknown here."""
-    answer: asyncio.Future[OrderAnswered] = asyncio.get_running_loop().create_future()
-
-    def take(answered: OrderAnswered) -> None:
-        if not answer.done():
-            answer.set_result(answered)
-
-    ticket = driver.submit_order(command, take)
-    try:
-        async with asyncio.timeout(timeout_s):
-            return await answer
-    except TimeoutError:
-        return None
-    finally:
-        driver.forget_order(ticket)
+    return await answer_of(driver, lambda callback: driver.submit_order(command, callback), timeout_s)
 
 
 def order_reply(
--- /dev/null
+++ b/src/springmux/node/lifecycle.py
@@ -0,0 +1,93 @@
+"""What the processes of all kinds of nodes share: how one ends, and running again with a new replica."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
+
+from springmux.coordination.kernel import NoteLevel
+from springmux.node.driver import AgentDriver
+from springmux.node.logs import EventLog
+from springmux.node.storage_open import OpenedStorage, open_storage, set_aside_replica
+from springmux.storage.disk import Disk, FolderLocked
+from springmux.storage.real_disk import RealDisk
+
+EXIT_STOPPED = 0
+EXIT_CANNOT_START = 1
+EXIT_WRONG_SETTINGS = 2
+EXIT_CRASHED = 70
+"""``EX_SOFTWARE`` of sysexits.h: an internal fault; a supervisor should start the process again."""
+EXIT_KILLED = 130
+BEGIN_ANEW = -1
+"""Not an exit code: the replica's folder is of no use, run again in this process with an empty one."""
+
+
+class RunnableNode(Protocol):
+    """One running node, from its start to its end."""
+
+    async def start(self) -> None:
+        """Open the listeners, then start the agent.
+
+        :raises OSError: if an address can't be bound.
+        """
+        ...
+
+    async def wait(self) -> int:
+        """Wait for a stop or a crash, and stop. Returns the exit code, or :data:`BEGIN_ANEW`."""
+        ...
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        ...
+
+
+async def wait_for_end(driver: AgentDriver, stop_requested: asyncio.Event) -> int:
+    """Wait for a stop asked for, a crash or a replica that was given up; see :func:`present_end`."""
+    stopping = asyncio.ensure_future(stop_requested.wait())
+    given_up = asyncio.ensure_future(driver.replica_given_up.wait())
+    awaited: set[asyncio.Future[Any]] = {stopping, given_up, driver.crashed}
+    await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    given_up.cancel()
+    return present_end(driver, stop_requested)
+
+
+def present_end(driver: AgentDriver, stop_requested: asyncio.Event) -> int:
+    """Return how a node that ends now ends: its exit code, or :data:`BEGIN_ANEW`."""
+    if driver.crashed.done():
+        return EXIT_CRASHED
+    return EXIT_STOPPED if stop_requested.is_set() else BEGIN_ANEW
+
+
+async def run_nodes(
+    data_folder: Path | None,
+    make_node: Callable[[OpenedStorage], RunnableNode],
+    log: EventLog,
+    make_disk: Callable[[Path], Disk] = RealDisk,
+) -> int:
+    """Run node after node until one stops; all but the first with a new replica. Returns the exit code."""
+    ending = BEGIN_ANEW
+    try:
+        while ending == BEGIN_ANEW:
+            opened = OpenedStorage(store=None, recovered=None)
+            if data_folder is not None:
+                opened = await asyncio.to_thread(open_storage, data_folder, log, make_disk)
+            ending = await _run_once(make_node(opened), log)
+            if ending == BEGIN_ANEW and data_folder is not None:
+                await asyncio.to_thread(set_aside_replica, data_folder, log, make_disk)
+    except FolderLocked as error:
+        log.write("data_folder_locked", NoteLevel.ERROR, reason=str(error), action="stop the other process")
+        return EXIT_CANNOT_START
+    return ending
+
+
+async def _run_once(node: RunnableNode, log: EventLog) -> int:
+    try:
+        await node.start()
+    except OSError as error:
+        log.write("cannot_listen", NoteLevel.ERROR, reason=str(error), action="free the address or change it")
+        await node.close()
+        return EXIT_CANNOT_START
+    return await node.wait()
--- a/tests/unit/node/test_daemon.py
+++ b/tests/unit/node/test_daemon.py
@@ -15,7 +15,8 @@
 from springmux.coordination.consensus.core import RESTART_AS_NEW
 from springmux.coordination.consensus.effects import ReplicaStopped
 from springmux.node import daemon
-from springmux.node.daemon import EXIT_CRASHED, EXIT_STOPPED, NodeProcess
+from springmux.node.daemon import NodeProcess
+from springmux.node.lifecycle import EXIT_CRASHED, EXIT_STOPPED
 from springmux.node.logs import EventLog
 from springmux.node.settings import NodeSettings
 from springmux.node.storage_open import open_storage
--- a/tests/unit/node/test_lean_imports.py
+++ b/tests/unit/node/test_lean_imports.py
@@ -11,6 +11,7 @@
     "springmux.agent.agent",
     "springmux.node.agent_codec",
     "springmux.node.driver",
+    "springmux.node.gateway.process",
     "springmux.node.logs",
     "springmux.node.metrics",
     "springmux.node.peer_transport",
--- a/tests/unit/node_gateway/test_operators.py
+++ b/tests/unit/node_gateway/test_operators.py
@@ -77,7 +77,7 @@
     settings = msgspec.structs.replace(settings, **more)
     log = EventLog("n1", output=io.StringIO())
     opened = open_storage(folder, log)
-    process = GatewayProcess(settings, OWN_HEADERS, opened, log)
+    process = GatewayProcess(settings, OWN_HEADERS, opened, log, asyncio.Event())
     async with asyncio.timeout(LONG_S):
         await process.start()
         try:
