Settings of a gateway node are checked for their ranges; one check of addresses

Cause: only types were checked, so a negative number of losses, a share over 1 or a timeout of nan passed and showed later as something else; messages lacked the value and what is allowed. The check of addresses was a weaker copy of node/addresses.py: it took host names, which nothing looks up. `heartbeat_ms` was read and not used.

Change: a range in each setting's type; a wrong one is named with its value and what it must be. The shared check of addresses is used, for `host` too.

Tests: three new ones in node_gateway/test_settings.py, 15 cases; the present ones are unchanged.

--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -14,6 +14,7 @@
 from springmux.coordination.kernel import NoteLevel
 from springmux.coordination.membership.events import SeedsChanged
 from springmux.gateway.dialect import OWN_HEADERS, HeaderNames
+from springmux.node.addresses import split_address
 from springmux.node.agent_codec import AgentCodec
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.control_interface import ControlInterface, ReadyBody, ready_handler
@@ -123,8 +124,7 @@
             (self._ready, settings.ready_address),
             (self._front, settings.front_address),
         ):
-            host, _, port = address.rpartition(":")
-            await server.listen(host, int(port))
+            await server.listen(*split_address(address))
         self.driver.start()
         self._exchange_loads()
         self._sample_rates()
--- a/src/springmux/node/gateway/settings.py
+++ b/src/springmux/node/gateway/settings.py
@@ -6,17 +6,37 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from pathlib import Path
-from typing import Any, Literal
+from typing import Annotated, Any, Literal, get_args, get_origin
 
 import msgspec
 
 from springmux.agent.events import AgentSettings
 from springmux.coordination.identifiers import Address, NodeId
+from springmux.node.addresses import MAX_PORT, check_address
 from springmux.vocabulary.errors import FieldError, SettingsError
 
-MAX_PORT = 65535
+MAX_SHOWN = 80
+"""Characters of a wrong value that its message repeats."""
+_KINDS = {
+    str: "text",
+    bool: "true or false",
+    int: "a whole number",
+    float: "a number",
+    tuple[str, ...]: "a list of texts",
+}
+
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+Losses = Annotated[int, msgspec.Meta(ge=0, le=10)]
+"""With 10 the control group has 21 voters; a larger one only gets slower."""
+Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+GraceSeconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+TimeoutSeconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -25,30 +45,29 @@
     ``front_address``: callers. ``ready_address``: readiness checks. ``control_address``: operators and
     engines. ``seeds``: addresses of three or fewer other nodes; only the host counts, since peers listen
     on ``peer_port`` everywhere. ``first_start``: the whole fleet starts for the first time, on empty disks.
-    ``losses_tolerated``: controllers that may be lost at once. ``heartbeat_ms``: how often engines report.
+    ``losses_tolerated``: controllers that may be lost at once.
     ``fleet_retries``: repeats that the whole fleet may send in ten seconds beside its share of requests.
     """
 
-    node: str
-    zone: str
+    node: Name
+    zone: Name
     region: str = ""
     fleet: str = "springmux"
-    host: str
+    host: Name
     front_address: str
     ready_address: str
     control_address: str
-    peer_port: int
+    peer_port: Port
     seeds: tuple[str, ...] = ()
     first_start: bool = False
-    losses_tolerated: int = 1
+    losses_tolerated: Losses = 1
     data_folder: str = ""
-    heartbeat_ms: float = 1200.0
-    fleet_retries: int = 64
-    expose_share: float = 0.1
-    expose_allowance: int = 50
-    rollback_ms: int = 5000
-    stop_grace_s: float = 8.0
-    order_timeout_s: float = 4.0
+    fleet_retries: Count = 64
+    expose_share: Share = 0.1
+    expose_allowance: Count = 50
+    rollback_ms: Milliseconds = 5000
+    stop_grace_s: GraceSeconds = 8.0
+    order_timeout_s: TimeoutSeconds = 4.0
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
     @property
@@ -109,22 +128,48 @@
 
 
 def _why_wrong(name: str, value: Any, kind: Any) -> str:
+    """Return what is wrong with a setting's value and what is allowed; empty if it is right."""
     try:
         converted = msgspec.convert(value, kind, strict=True)
-    except msgspec.ValidationError as error:
-        return str(error)
-    if name.endswith("_address") or name == "seeds":
-        addresses = converted if isinstance(converted, tuple) else (converted,)
-        return next((text for text in map(_why_no_address, addresses) if text), "")
-    if name in ("node", "zone", "host") and not converted:
-        return "must not be empty"
+    except msgspec.ValidationError:
+        return f"{_shown(value)} is not allowed; it must be {_allowed(kind)}"
+    if isinstance(converted, float) and not math.isfinite(converted):
+        return f"{_shown(value)} is not allowed; it must be {_allowed(kind)}"
+    for address in _addresses(name, converted):
+        try:
+            check_address(address)
+        except ValueError as error:
+            return f"{_shown(value)} is not allowed: {error}"
     return ""
 
 
-def _why_no_address(value: str) -> str:
-    host, separator, port = value.rpartition(":")
-    if not separator or not host:
-        return f"{value!r} must be IP:port, for example 10.0.0.5:7000"
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        return f"the port {port!r} is not a number from 1 to {MAX_PORT}"
-    return ""
+def _addresses(name: str, value: Any) -> tuple[str, ...]:
+    """Return the addresses that a setting holds. ``host`` lacks only the port, which is another setting."""
+    if name == "host":
+        return (f"{value}:{MAX_PORT}",)
+    if name == "seeds":
+        return tuple(value)
+    return (value,) if name.endswith("_address") else ()
+
+
+def _shown(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]}..."
+
+
+def _allowed(kind: Any) -> str:
+    """Return the type of a setting and its range in words."""
+    if get_origin(kind) is Literal:
+        return " or ".join(get_args(kind))
+    base, *metadata = get_args(kind) if get_origin(kind) is Annotated else (kind,)
+    words = _KINDS[base]
+    for meta in metadata:
+        if meta.min_length is not None:
+            words += " that is not empty"
+        if meta.ge is not None:
+            words += f" from {meta.ge:g}"
+        if meta.gt is not None:
+            words += f" above {meta.gt:g}"
+        if meta.le is not None:
+            words += f" to {meta.le:g}"
+    return words
--- a/tests/unit/node_gateway/test_settings.py
+++ b/tests/unit/node_gateway/test_settings.py
@@ -53,6 +53,56 @@
     assert paths == {"node", "front_address", "peer_port", "unknown", "log_level"}
 
 
+@pytest.mark.parametrize(
+    ("line", "said"),
+    [
+        ("peer_port = 70000", "peer_port: 70000 is not allowed; it must be a whole number from 1 to 65535"),
+        (
+            "losses_tolerated = -1",
+            "losses_tolerated: -1 is not allowed; it must be a whole number from 0 to",
+        ),
+        ("expose_share = 1.5", "expose_share: 1.5 is not allowed; it must be a number from 0 to 1"),
+        ("order_timeout_s = 0", "order_timeout_s: 0 is not allowed; it must be a number above 0 to 3600"),
+        ("order_timeout_s = nan", "order_timeout_s: nan is not allowed; it must be a number above 0 to 3600"),
+        ("first_start = 1", "first_start: 1 is not allowed; it must be true or false"),
+        (
+            'log_level = "loud"',
+            "log_level: 'loud' is not allowed; it must be debug or info or warning or",
+        ),
+        ('zone = ""', "zone: '' is not allowed; it must be text that is not empty"),
+        ('seeds = "10.0.0.1:8002"', "seeds: '10.0.0.1:8002' is not allowed; it must be a list of texts"),
+        (
+            'seeds = ["10.0.0.1:0"]',
+            "seeds: ['10.0.0.1:0'] is not allowed: the port '0' is not a number",
+        ),
+        ('host = "www.example"', "host: 'www.example' is not allowed: the host 'www.example' is not an IP"),
+        ('front_address = "::1:80"', "front_address: '::1:80' is not allowed: the host '::1' must be an IP"),
+        ('ready_address = "10.0.0.1"', "ready_address: '10.0.0.1' is not allowed: must be IP:port"),
+    ],
+)
+def test_a_wrong_setting_names_itself_its_value_and_what_is_allowed(
+    tmp_path: Path, line: str, said: str
+) -> None:
+    """Given one wrong line in place of the right one, the error says what it is and what it must be."""
+    name = line.partition(" ")[0]
+    kept = [good for good in GOOD.splitlines() if not good.startswith(f"{name} ")]
+    with pytest.raises(SettingsError) as raised:
+        _load(tmp_path, "\n".join([*kept, line]))
+    assert said in str(raised.value)
+    assert len(raised.value.errors) == 1
+
+
+def test_a_long_wrong_value_is_repeated_in_part(tmp_path: Path) -> None:
+    with pytest.raises(SettingsError) as raised:
+        _load(tmp_path, GOOD.replace("7000", f'"{"x" * 1000}"'))
+    assert len(str(raised.value)) < 200
+
+
+def test_addresses_of_ipv6_are_taken(tmp_path: Path) -> None:
+    settings = load_gateway_settings(_written(tmp_path, GOOD.replace("10.0.0.1", "[fd00::1]")))
+    assert settings.peer_address == "[fd00::1]:7000"
+
+
 def test_a_file_that_is_missing_or_no_toml(tmp_path: Path) -> None:
     """Given no file or nonsense, the error says which."""
     with pytest.raises(SettingsError, match="can't read"):
