Dead code of the gateway removed; a share of retries named as what it is

Removed, used by nobody but tests: Placement.free_places, Placement.versions, PooledEngineClient.forget, AttemptRules.all_declined (the opposite of may_have_run), __all__ of node/gateway/attempt.py. FLEET_REFRESH_SHARE is FLEET_RETRY_SHARE.

--- a/src/springmux/gateway/attempts.py
+++ b/src/springmux/gateway/attempts.py
@@ -50,11 +50,6 @@
         """Whether a further engine may be used if the present attempt is given up."""
         return self._route.repeatable and self._runs + 1 < self._route.max_attempts
 
-    @property
-    def all_declined(self) -> bool:
-        """Whether every engine that was sent the request said that it did not run it."""
-        return not self.may_have_run
-
     def reserve(self, now: float) -> bool:
         """Take a further attempt out of the budget before the present one is given up."""
         if not self.spare_attempt or self._reserved or not self._time_left(now):
--- a/src/springmux/gateway/core.py
+++ b/src/springmux/gateway/core.py
@@ -18,7 +18,7 @@
 from springmux.vocabulary.engines import EnginesView
 from springmux.vocabulary.names import EngineId, ServiceName
 
-FLEET_REFRESH_SHARE = 0.75
+FLEET_RETRY_SHARE = 0.75
 """Part of the fleet's least number of retries that its nodes share; the rest is for nodes not yet known."""
 NODE_RETRY_SHARE = 0.15
 """A bound on each node bounds the fleet; the fleet's own is 0.2 (docs/notes/retries.md)."""
@@ -80,7 +80,7 @@
     def update_fleet(self, nodes: int) -> None:
         """Take the number of present nodes, over which the fleet's bounds are spread."""
         self.placement.set_fleet_size(nodes)
-        floor = max(2, int(FLEET_REFRESH_SHARE * self.least_fleet_retries / max(1, nodes)))
+        floor = max(2, int(FLEET_RETRY_SHARE * self.least_fleet_retries / max(1, nodes)))
         self.retry_budget.set_floor(floor)
 
     def _take_rollouts(self, view: ControlView, now: float) -> None:
--- a/src/springmux/gateway/placement.py
+++ b/src/springmux/gateway/placement.py
@@ -77,24 +77,6 @@
         slots = self._table.slots
         return [(engine, slot.in_flight, slot.prefill_tokens) for engine, slot in slots.items()]
 
-    def versions(self, service: ServiceName) -> frozenset[VersionName]:
-        """Return the versions of the service's engines that haven't left."""
-        pool = self._table.pool(service)
-        return pool.versions if pool is not None else frozenset()
-
-    def free_places(self, service: ServiceName, versions: tuple[VersionName, ...], now: float) -> int:
-        """Return how many more requests the usable engines take, as far as this node knows."""
-        pool = self._table.pool(service)
-        if pool is None:
-            return 0
-        pool.refresh(now)
-        free = 0.0
-        for group in pool.groups(versions, 0):
-            for slot in group.slots:
-                if slot.health.closed_until <= now:
-                    free += max(0.0, slot.record.capacity - slot.in_flight - slot.other_requests)
-        return int(free)
-
     def choose(
         self,
         service: ServiceName,
--- a/src/springmux/node/gateway/attempt.py
+++ b/src/springmux/node/gateway/attempt.py
@@ -19,7 +19,6 @@
 from springmux.node.gateway.silence_watch import SilenceWatch
 from springmux.node.http.types import (
     AnswerHead,
-    ClientGone,
     EngineExchange,
     ExchangeFailed,
     FailureKind,
@@ -293,6 +292,3 @@
             lambda since: self._placement.silent_since(self._ticket, since),
             lambda: rules.reserve(self._loop.time()),
         )
-
-
-__all__ = ["Attempt", "AttemptResult", "ClientGone"]
--- a/src/springmux/node/gateway/forwarding.py
+++ b/src/springmux/node/gateway/forwarding.py
@@ -108,7 +108,7 @@
         if last is not None and last.pass_on is not None:
             last.pass_on()
             return None
-        return unrun if self.rules.all_declined else attempts.FAILED
+        return attempts.FAILED if self.rules.may_have_run else unrun
 
     def _event_stream(self) -> EventStream | None:
         if not self.route.resumable:
--- a/src/springmux/node/http/client.py
+++ b/src/springmux/node/http/client.py
@@ -60,11 +60,6 @@
                 raise ExchangeFailed(FailureKind.NOT_SENT, "the connection ended before the request")
             connection = self._take_idle(address)
 
-    def forget(self, address: str) -> None:
-        """Close the kept connections of an engine that is gone."""
-        for connection in self._idle.pop(address, []):
-            connection.abort()
-
     def close(self) -> None:
         """Close every connection; exchanges under way fail."""
         self._closed = True
--- a/src/springmux/node/http/types.py
+++ b/src/springmux/node/http/types.py
@@ -203,10 +203,6 @@
         """
         ...
 
-    def forget(self, address: str) -> None:
-        """Close the kept connections of an engine that is gone."""
-        ...
-
     def close(self) -> None:
         """Close every connection."""
         ...
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -44,7 +44,7 @@
     assert rules.may_try_again(AttemptEnd.DECLINED, 0.0)
     assert rules.may_try_again(AttemptEnd.DECLINED, 0.0)
     assert not rules.may_try_again(AttemptEnd.DECLINED, 0.0)
-    assert rules.all_declined
+    assert not rules.may_have_run
 
 
 def test_a_refusal_is_not_promised_once_it_may_have_run() -> None:
@@ -52,7 +52,7 @@
     rules = _rules(GatewayRouteKind.SAFE)
     rules.may_try_again(AttemptEnd.DECLINED, 0.0)
     rules.may_try_again(AttemptEnd.MAY_HAVE_RUN, 0.0)
-    assert not rules.all_declined
+    assert rules.may_have_run
 
 
 def test_the_budget_bounds_sends_but_not_vain_connections() -> None:
--- a/tests/unit/gateway/test_engine_health.py
+++ b/tests/unit/gateway/test_engine_health.py
@@ -11,6 +11,7 @@
 from springmux.gateway.placement import ExchangeOutcome, Placement, PromptFacts
 from springmux.vocabulary.engines import EngineRecord
 
+from .places import free_places
 from .transcripts import PLAIN, SHORT, TEXT, V1, V2, chosen, engine, engines, exchange, node, send, view
 
 O = ExchangeOutcome  # noqa: E741
@@ -170,7 +171,7 @@
     placement = node(records)
     exchange(placement, records[0], O.DECLINED_FULL, 10.0)
     assert used(placement, 10.05) == {"e1"}
-    assert placement.free_places(TEXT, (V1,), 10.05) == 16
+    assert free_places(placement, TEXT, (V1,), 10.05) == 16
     assert "e0" in used(placement, 10.15)
     for _ in range(5):
         exchange(placement, records[0], O.DECLINED_FULL, 11.0)
@@ -191,7 +192,7 @@
     for number, record in enumerate(records):
         exchange(placement, record, O.CONNECT_FAILED, 10.0 + number / 10)
     assert chosen(placement, ANY, 10.3) == "e0"
-    assert placement.free_places(TEXT, (V1,), 10.3) == 0
+    assert free_places(placement, TEXT, (V1,), 10.3) == 0
 
 
 def traffic(placement: Placement, records: list[EngineRecord], failing: dict[str, int], rounds: int) -> None:
@@ -308,7 +309,7 @@
     placement.update_engines(view([restarted, records[1]]), 10.2)
     assert used(placement, 10.3) == {"e0", "e1"}
     placement.ended(old, O.RESET, 10.4)
-    assert placement.free_places(TEXT, (V1,), 10.5) == 32
+    assert free_places(placement, TEXT, (V1,), 10.5) == 32
     assert "e0" in used(placement, 10.5)
 
 
--- a/tests/unit/gateway/test_placement.py
+++ b/tests/unit/gateway/test_placement.py
@@ -11,6 +11,7 @@
 from springmux.vocabulary.engines import EngineStatus
 from springmux.vocabulary.names import EngineId, ServiceName
 
+from .places import free_places, known_versions
 from .transcripts import (
     PLAIN,
     SHORT,
@@ -174,11 +175,11 @@
 def test_a_full_batch_is_avoided_and_leaves_no_free_place() -> None:
     records = [engine(0, capacity=2), engine(1, capacity=2)]
     placement = node(records)
-    assert placement.free_places(TEXT, (V1,), 1.0) == 4
+    assert free_places(placement, TEXT, (V1,), 1.0) == 4
     for _ in range(2):
         send(placement, records[0], 1.0, PromptFacts((), 10))
     send(placement, records[1], 1.0, PromptFacts((), 1900))
-    assert placement.free_places(TEXT, (V1,), 1.0) == 1
+    assert free_places(placement, TEXT, (V1,), 1.0) == 1
     assert chosen(placement, PromptFacts((), 10), 1.0) == "e1"
 
 
@@ -264,10 +265,10 @@
     assert chosen(placement, SHORT, 2.0) == "e1"
     placement.update_engines(view([draining]), 3.0)
     assert chosen(placement, SHORT, 3.0) is None
-    assert placement.versions(TEXT) == {V1}
+    assert known_versions(placement, TEXT) == {V1}
     placement.update_engines(view([with_status(draining, EngineStatus.LEFT)]), 4.0)
-    assert placement.versions(TEXT) == frozenset()
-    assert placement.versions(ServiceName("none")) == frozenset()
+    assert known_versions(placement, TEXT) == frozenset()
+    assert known_versions(placement, ServiceName("none")) == frozenset()
 
 
 def test_versions_are_tried_in_their_order() -> None:
--- a/tests/unit/http/test_client_pool.py
+++ b/tests/unit/http/test_client_pool.py
@@ -76,7 +76,7 @@
             exchange.abort()
         assert len(client._idle[there.address]) == 2
         assert await ask(client, there.address) == b"ok"
-        client.forget(there.address)
+        client.close()
         assert client._idle == {}
 
 
--- a/tests/unit/node_gateway/scripted_engines.py
+++ b/tests/unit/node_gateway/scripted_engines.py
@@ -152,6 +152,4 @@
         self.sent.append(Sent(address, head, body, now(), exchange))
         return exchange
 
-    def forget(self, address: str) -> None: ...
-
     def close(self) -> None: ...
