springmux gateway: a server that is no control listener is said to be none

Change: each command asks for a member that the gateway's answer must have; else exit 1 with the address and what to give.

Tests: two new ones in cli/test_gateway.py, 7 cases.

--- a/src/springmux/cli/gateway.py
+++ b/src/springmux/cli/gateway.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, NoReturn
 
 import typer
 
-from springmux.cli.client import AdminClient
+from springmux.cli.client import AdminClient, AdminReply
 from springmux.cli.exit_codes import EPILOG, ExitCode
 from springmux.cli.gateway_status_page import print_gateway_status
 from springmux.cli.output import (
@@ -17,7 +18,6 @@
     fail,
     path_segment,
     print_json,
-    read,
     read_file,
     show_accepted,
 )
@@ -51,7 +51,7 @@
 
     Example: springmux gateway status --control 10.0.0.5:8002
     """
-    found = read(AdminClient(control), STATUS_PATH, json_output, CONTROL_SOURCES)
+    found = _read(AdminClient(control), STATUS_PATH, "role", json_output)
     if json_output:
         print_json(found)
         return
@@ -64,7 +64,7 @@
 
     Example: springmux gateway configuration --control 10.0.0.5:8002 > gateway.json
     """
-    print_json(read(AdminClient(control), CONFIGURATION_PATH, True, CONTROL_SOURCES))
+    print_json(_read(AdminClient(control), CONFIGURATION_PATH, "routes", False))
 
 
 @application.command()
@@ -101,10 +101,8 @@
     """
     document = read_file(file, json_output)
     client = AdminClient(control)
-    reply = checked(
-        lambda: client.order("PUT", CONFIGURATION_PATH, document, base_version=builds_on),
-        json_output,
-        CONTROL_SOURCES,
+    reply = _order(
+        lambda: client.order("PUT", CONFIGURATION_PATH, document, base_version=builds_on), json_output
     )
     show_accepted(reply, f"configuration on top of version {builds_on}", json_output)
 
@@ -123,7 +121,7 @@
     """
     order = {"service": service, "candidate": candidate, "by_s": by_s}
     client = AdminClient(control)
-    reply = checked(lambda: client.order("POST", ROLLOUTS_PATH, order), json_output, CONTROL_SOURCES)
+    reply = _order(lambda: client.order("POST", ROLLOUTS_PATH, order), json_output)
     show_accepted(reply, f"rollout of {service} to {candidate}", json_output)
 
 
@@ -141,7 +139,7 @@
     client = AdminClient(control)
     while True:
         path = f"{ROLLOUTS_PATH}/{path_segment(service)}"
-        found: dict[str, Any] = read(client, path, json_output, CONTROL_SOURCES)
+        found = _read(client, path, "state", json_output)
         if json_output:
             print_json(found)
         else:
@@ -159,5 +157,26 @@
     return GatewaySection().apply(ApplyGateway(order=order, base_version=0, document=document)).errors
 
 
+def _read(client: AdminClient, path: str, member: str, as_json: bool) -> dict[str, Any]:
+    """Return the document at ``path``, or exit with what was wrong. ``member``: one that it must have."""
+    reply = checked(lambda: client.get(path), as_json, CONTROL_SOURCES)
+    if not isinstance(reply.document, dict) or member not in reply.document:
+        _foreign(reply.address, as_json)
+    return reply.document
+
+
+def _order(call: Callable[[], AdminReply], as_json: bool) -> AdminReply:
+    """Give an order and return its accepted answer, or exit with what was wrong."""
+    reply = checked(call, as_json, CONTROL_SOURCES)
+    if not isinstance(reply.document, dict):
+        _foreign(reply.address, as_json)
+    return reply
+
+
+def _foreign(address: str, as_json: bool) -> NoReturn:
+    details = ["give the control_address of a node's settings with --control"]
+    fail(f"what answers at {address} is no gateway's control listener", ExitCode.FAILED, as_json, details)
+
+
 def _line(error: FieldError) -> str:
     return f"{error.path}: {error.message}" if error.path else error.message
--- a/src/springmux/cli/output.py
+++ b/src/springmux/cli/output.py
@@ -67,9 +67,9 @@
     raise typer.Exit(code)
 
 
-def read(client: AdminClient, path: str, as_json: bool, sources: str = ADMIN_SOURCES) -> Any:
+def read(client: AdminClient, path: str, as_json: bool) -> Any:
     """Return the document at ``path``, or exit with what was wrong."""
-    return checked(lambda: client.get(path), as_json, sources).document
+    return checked(lambda: client.get(path), as_json).document
 
 
 def order(
--- a/tests/unit/cli/test_gateway.py
+++ b/tests/unit/cli/test_gateway.py
@@ -189,6 +189,33 @@
     assert "there is no rollout of 'pages'" in result.stderr
 
 
+@pytest.mark.parametrize("document", [None, [], {"hello": "world"}])
+def test_a_server_that_is_no_control_listener_is_said_to_be_none(file: Path, document: Any) -> None:
+    """Given answers of another server, no command takes them for a node's, and none ends with a traceback."""
+    commands = (
+        (("status",), "GET /v1/gateway/status"),
+        (("configuration",), "GET /v1/gateway/configuration"),
+        (("rollout", "pages"), "GET /v1/gateway/rollouts/pages"),
+        (("put", str(file), "--builds-on", "0"), "PUT /v1/gateway/configuration"),
+        (("promote", "pages", "--candidate", "p2", "--by-s", "9"), "POST /v1/gateway/rollouts"),
+    )
+    with scripted_admin({asked: (200, document) for _, asked in commands}) as server:
+        for words, asked in commands:
+            if isinstance(document, dict) and not asked.startswith("GET"):
+                continue  # the answer of a taken order has no member that it must have
+            result = run("gateway", *words, "--control", server.address)
+            assert result.exit_code == ExitCode.FAILED, words
+            assert f"what answers at {server.address} is no gateway's control listener" in result.stderr
+            assert isinstance(result.exception, SystemExit)
+
+
+@pytest.mark.parametrize("address", ["a b:1", "http://127.0.0.1:1", "127.0.0.1", "127.0.0.1:x"])
+def test_a_wrong_address_is_the_users_mistake_without_traceback(address: str) -> None:
+    result = run("gateway", "status", "--control", address)
+    assert result.exit_code == ExitCode.UNREACHABLE
+    assert address in result.stderr
+
+
 def test_no_node_reachable_names_the_option() -> None:
     result = run("gateway", "status", "--control", DEAD_ADMIN)
     assert result.exit_code == ExitCode.UNREACHABLE
