--- a/src/springmux/gateway/core.py
+++ b/src/springmux/gateway/core.py
@@ -11,29 +11,19 @@
 from springmux.coordination.retry_budget import RetryBudget
 from springmux.coordination.usage.part import UsagePart
 from springmux.gateway.placement import Placement
+from springmux.gateway.refusals import GatewayCounters
 from springmux.gateway.routing import RouteTable
 from springmux.rollout.outcome import VersionChooser
 from springmux.rollout.plan import RolloutRecord
 from springmux.vocabulary.engines import EnginesView
 from springmux.vocabulary.names import EngineId, ServiceName
 
-FLEET_REFRESH_SHARE = 0.75
+FLEET_RETRY_SHARE = 0.75
 """Part of the fleet's least number of retries that its nodes share; the rest is for nodes not yet known."""
 NODE_RETRY_SHARE = 0.15
 """A bound on each node bounds the fleet; the fleet's own is 0.2 (docs/notes/retries.md)."""
 
 
-class GatewayCounters(msgspec.Struct):
-    """Counts since the start, for status and logs."""
-
-    requests: int = 0
-    dispatches: int = 0
-    retries: int = 0
-    resumed: int = 0
-    refused: int = 0
-    failed: int = 0
-
-
 class RolloutInForce(msgspec.Struct, frozen=True):
     """A rollout's record with the monotonic time at which it came into force here."""
 
@@ -90,7 +80,7 @@
     def update_fleet(self, nodes: int) -> None:
         """Take the number of present nodes, over which the fleet's bounds are spread."""
         self.placement.set_fleet_size(nodes)
-        floor = max(2, int(FLEET_REFRESH_SHARE * self.least_fleet_retries / max(1, nodes)))
+        floor = max(2, int(FLEET_RETRY_SHARE * self.least_fleet_retries / max(1, nodes)))
         self.retry_budget.set_floor(floor)
 
     def _take_rollouts(self, view: ControlView, now: float) -> None:
--- a/src/springmux/node/gateway/forwarding.py
+++ b/src/springmux/node/gateway/forwarding.py
@@ -82,6 +82,8 @@
                 return self._give_up(last, attempts.NO_ENGINE)
             if last is not None and last.end is not AttemptEnd.UNSENT:
                 core.counters.retries += 1
+                if self.exchange.begun and last.end is AttemptEnd.MAY_HAVE_RUN:
+                    core.counters.resumed += 1
             last = await self._attempt(selection, record)
             if last.end is None:
                 return None
@@ -106,7 +108,7 @@
         if last is not None and last.pass_on is not None:
             last.pass_on()
             return None
-        return unrun if self.rules.all_declined else attempts.FAILED
+        return attempts.FAILED if self.rules.may_have_run else unrun
 
     def _event_stream(self) -> EventStream | None:
         if not self.route.resumable:
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -7,7 +7,6 @@
 import random
 import signal
 from pathlib import Path
-from typing import Any
 
 from springmux.agent.agent import NodeAgent
 from springmux.agent.events import StopBegun
@@ -15,31 +14,34 @@
 from springmux.coordination.kernel import NoteLevel
 from springmux.coordination.membership.events import SeedsChanged
 from springmux.gateway.dialect import OWN_HEADERS, HeaderNames
+from springmux.node.addresses import split_address
 from springmux.node.agent_codec import AgentCodec
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.control_interface import ControlInterface, ReadyBody, ready_handler
 from springmux.node.gateway.forwarder import Forwarder, ForwarderServices
 from springmux.node.gateway.headers import HeaderRules
+from springmux.node.gateway.refusal_log import RefusalLog, counter_values
 from springmux.node.gateway.settings import GatewaySettings, load_gateway_settings
 from springmux.node.http.client import PooledEngineClient
 from springmux.node.http.server import HttpServer
 from springmux.node.http.types import ServerLimits
+from springmux.node.lifecycle import (
+    BEGIN_ANEW,
+    EXIT_CRASHED,
+    EXIT_WRONG_SETTINGS,
+    present_end,
+    run_nodes,
+    wait_for_end,
+)
 from springmux.node.logs import EventLog
 from springmux.node.metrics import NodeMetrics
 from springmux.node.peer_hello import HelloKeeper
 from springmux.node.peer_transport import PeerTransport
 from springmux.node.service_rates import ServiceRates
-from springmux.node.storage_open import OpenedStorage, open_storage, set_aside_replica
+from springmux.node.storage_open import OpenedStorage
 from springmux.node.storage_worker import StorageWorker
 from springmux.vocabulary.errors import SettingsError
 
-EXIT_STOPPED = 0
-EXIT_CANNOT_START = 1
-EXIT_WRONG_SETTINGS = 2
-EXIT_CRASHED = 70
-"""``EX_SOFTWARE`` of sysexits.h."""
-BEGIN_ANEW = -1
-"""Not an exit code: run again in this process with a new replica."""
 STORAGE_STOP_S = 1.0
 STILL_ACCEPTING_S = 2.5
 """After a stop is asked for, callers still come until the platform's readiness checks have noticed."""
@@ -57,10 +59,16 @@
     """Everything of one running gateway node."""
 
     def __init__(
-        self, settings: GatewaySettings, names: HeaderNames, opened: OpenedStorage, log: EventLog
+        self,
+        settings: GatewaySettings,
+        names: HeaderNames,
+        opened: OpenedStorage,
+        log: EventLog,
+        stop_requested: asyncio.Event,
     ) -> None:
         self._settings = settings
         self._log = log
+        self._stop_requested = stop_requested
         self._stopping = False
         self._loads_timer: asyncio.TimerHandle | None = None
         self._rates_timer: asyncio.TimerHandle | None = None
@@ -69,20 +77,27 @@
         self.agent = NodeAgent(settings.agent_settings(), opened.recovered, randomness, opened.claims)
         self.agent.gateway.least_fleet_retries = settings.fleet_retries
         self.driver = AgentDriver(self.agent, log, self.metrics)
+        if settings.data_folder and opened.store is None:
+            self.driver.replica_stopped_reason = opened.reason
+            self.metrics.set("replica_stopped", 1)
         self._transport = self._make_transport(randomness)
         self._storage = self._make_storage(opened)
         self.driver.attach(self._transport, self._storage)
         self._client = PooledEngineClient()
         self._rates = ServiceRates()
+        counters = self.agent.gateway.counters
+        self._refusals = RefusalLog(counters, log, names.request_id)
+        self.metrics.add_source(lambda: counter_values(counters))
         services = ForwarderServices(
             core=self.agent.gateway,
             client=self._client,
             headers=HeaderRules(names),
             randomness=random.Random(randomness.getrandbits(64)),
             rates=self._rates,
+            refusals=self._refusals,
         )
         control = ControlInterface(settings, self.agent, self.driver, self.metrics, self, self._rates)
-        self._front = HttpServer(Forwarder(services).handle, self._front_limits)
+        self._front = HttpServer(Forwarder(services).handle, self._front_limits, self._refusals.note_server)
         self._control = HttpServer(control.handle, lambda: CONTROL_LIMITS)
         self._ready = HttpServer(ready_handler(control), lambda: CONTROL_LIMITS)
 
@@ -109,28 +124,22 @@
             (self._ready, settings.ready_address),
             (self._front, settings.front_address),
         ):
-            host, _, port = address.rpartition(":")
-            await server.listen(host, int(port))
+            await server.listen(*split_address(address))
         self.driver.start()
         self._exchange_loads()
         self._sample_rates()
         self._log.write("node_started", zone=settings.zone, fleet=settings.fleet)
 
-    async def wait(self, stop_requested: asyncio.Event) -> int:
+    async def wait(self) -> int:
         """Wait for a stop or a crash, and stop. Returns the exit code, or :data:`BEGIN_ANEW`."""
-        stopping = asyncio.ensure_future(stop_requested.wait())
-        given_up = asyncio.ensure_future(self.driver.replica_given_up.wait())
-        awaited: set[asyncio.Future[Any]] = {stopping, given_up, self.driver.crashed}
-        await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
-        stopping.cancel()
-        given_up.cancel()
-        if self.driver.crashed.done():
+        ending = await wait_for_end(self.driver, self._stop_requested)
+        if ending == EXIT_CRASHED:
             return EXIT_CRASHED
-        if not stop_requested.is_set():
+        if ending == BEGIN_ANEW:
             await self.close()
             return BEGIN_ANEW
         await self._stop()
-        return EXIT_STOPPED
+        return present_end(self.driver, self._stop_requested)
 
     async def _stop(self) -> None:
         """Stop in order: not ready, hand over leadership, finish every request that was read, close."""
@@ -154,6 +163,7 @@
         self.driver.abandon_waiters()
         for server in (self._front, self._control, self._ready):
             server.close()
+        self._refusals.flush()
         self._client.close()
         await self._transport.close()
         if self._storage is not None:
@@ -211,26 +221,12 @@
     async def run(self) -> int:
         """Run until stopped; return the exit code."""
         self._handle_signals()
-        ending = BEGIN_ANEW
-        while ending == BEGIN_ANEW:
-            opened = await self._open()
-            self._process = GatewayProcess(self._settings, self._names, opened, self._log)
-            try:
-                await self._process.start()
-            except OSError as error:
-                self._log.write("cannot_listen", NoteLevel.ERROR, reason=str(error))
-                await self._process.close()
-                return EXIT_CANNOT_START
-            ending = await self._process.wait(self._stop_requested)
-            if ending == BEGIN_ANEW:
-                folder = Path(self._settings.data_folder)
-                await asyncio.to_thread(set_aside_replica, folder, self._log)
-        return ending
+        folder = Path(self._settings.data_folder) if self._settings.data_folder else None
+        return await run_nodes(folder, self._make_process, self._log)
 
-    async def _open(self) -> OpenedStorage:
-        if not self._settings.data_folder:
-            return OpenedStorage(store=None, recovered=None)
-        return await asyncio.to_thread(open_storage, Path(self._settings.data_folder), self._log)
+    def _make_process(self, opened: OpenedStorage) -> GatewayProcess:
+        self._process = GatewayProcess(self._settings, self._names, opened, self._log, self._stop_requested)
+        return self._process
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
