After a loss of power of everything, state and engines are known before there is a leader

First connections waited 0.5 s for machines that were not up yet; what a replica had applied before the loss waited for a leader's word; engines' heartbeats were refused until a node was in contact.

Change: the commit index goes along with each batch on disk, and a replica applies up to it at its start (committed entries stay committed; records without it read as before); a first connection is tried again after 0.15 s, then 0.3 and 0.5 s; a node without contact takes note of an engine and still sends it on to another node, as nobody else may hear of it here; a joiner asks again after 0.15 s.

Ruled out: a directory of engines on disk (the first heartbeats come 0.05 s after a node listens).

--- a/src/springmux/coordination/consensus/core.py
+++ b/src/springmux/coordination/consensus/core.py
@@ -131,7 +131,8 @@
         self.durability = Durability(recovered, self.log, settings.disk_retry_s)
         self.snapshot = recovered.snapshot
         self.snapshot_data = recovered.snapshot_data
-        self.commit_index = self.log.base_index
+        # What was committed stays so: after a loss of power of all it is applied before there is a leader.
+        self.commit_index = max(self.log.base_index, min(recovered.committed, self.log.last_index))
         self.applied_index = self.log.base_index
         self.applied_bytes = 0
         """Size of what was applied since the last snapshot was asked for."""
--- a/src/springmux/coordination/consensus/durability.py
+++ b/src/springmux/coordination/consensus/durability.py
@@ -93,8 +93,11 @@
         else:
             action()
 
-    def flush(self, now: float) -> Persist | None:
-        """Return the next batch to write, if there is one and storage is free."""
+    def flush(self, now: float, committed: LogIndex) -> Persist | None:
+        """Return the next batch to write, if there is one and storage is free.
+
+        :param committed: the commit index. It goes along with a batch, and is no reason for one.
+        """
         if self._in_flight is not None or self.blocked:
             return None
         if not self._dirty():
@@ -112,6 +115,7 @@
             truncate_from=self._truncate_from,
             entries=self.log.between(LogIndex(self._written_last + 1), self.log.last_index),
             founding=self._founding,
+            committed=committed,
         )
         self._in_flight = _Batch(
             batch.batch,
--- a/src/springmux/coordination/consensus/effects.py
+++ b/src/springmux/coordination/consensus/effects.py
@@ -13,7 +13,8 @@
     """Write and fsync, then give back :class:`Persisted` with the same ``batch``. Batches are in order.
 
     ``truncate_from``: first drop every entry at or after this index. ``founding``: the group this
-    folder now belongs to, with its first members.
+    folder now belongs to, with its first members. ``committed``: the commit index known now; it says what may
+    be applied at the next start before a leader is known.
     """
 
     batch: int
@@ -21,6 +22,7 @@
     truncate_from: LogIndex | None = None
     entries: tuple[Entry, ...] = ()
     founding: tuple[GroupId, GroupMembers] | None = None
+    committed: LogIndex = LogIndex(0)
 
 
 class Persisted(Event, frozen=True):
--- a/src/springmux/coordination/consensus/replica.py
+++ b/src/springmux/coordination/consensus/replica.py
@@ -291,7 +291,7 @@
         self._replication.send_entries()
         self._receiver.install_when_idle()
         self._snapshots.ask_when_due()
-        batch = core.durability.flush(core.now)
+        batch = core.durability.flush(core.now, core.commit_index)
         if batch is not None:
             core.emit(batch)
 
--- a/src/springmux/coordination/consensus/types.py
+++ b/src/springmux/coordination/consensus/types.py
@@ -75,7 +75,7 @@
     """What storage found in a data folder at start.
 
     ``group`` is ``None`` in a folder that was never part of a group. ``entries`` follow the snapshot
-    without a gap.
+    without a gap. Those up to ``committed`` were known to be committed at the newest write.
     """
 
     replica: ReplicaId
@@ -85,3 +85,4 @@
     snapshot_data: bytes
     entries: tuple[Entry, ...]
     founding_members: GroupMembers | None = None
+    committed: LogIndex = LogIndex(0)
--- a/src/springmux/coordination/membership/settings.py
+++ b/src/springmux/coordination/membership/settings.py
@@ -25,7 +25,7 @@
     sync_period_s: float = 10.0
     sync_again_s: float = 1.0
     """After an exchange that brought news: a joiner in a starting fleet isn't complete at once."""
-    join_retry_s: float = 0.25
+    join_retry_s: float = 0.15
     """A seed may begin to listen up to a second after this node's start."""
     seed_period_s: float = 3.0
     """How often a node asks a seed that isn't present; of the many nodes of a part, one soon does."""
--- a/src/springmux/node/gateway/engine_endpoints.py
+++ b/src/springmux/node/gateway/engine_endpoints.py
@@ -20,7 +20,8 @@
 from springmux.vocabulary.names import EngineId, ServiceName, VersionName
 
 DEAF_REASONS = frozenset({STARTING, JOINING, CUT_OFF, STOPPING})
-"""While a node is so, what an engine says here may reach nobody else: the engine goes to another node."""
+"""While a node is so, what an engine says here may reach nobody else: the engine is sent to another node.
+This one takes note of it all the same, and so knows engines before it knows its fleet."""
 ONLY_INCARNATION = 1
 """Each start of an engine has an identity of its own, so there is one life under each."""
 MAX_NAME_LENGTH = 200
@@ -50,17 +51,21 @@
         body = await exchange.body()
         if not engine or "/" in engine or len(engine) > MAX_NAME_LENGTH:
             return json_reply(400, ErrorCode.INVALID_ORDER, "the path must end with the engine's identity")
+        reply = self._hear(method, engine, body)
         reason = self._agent.not_ready_reason
-        if not self._agent.ready and reason in DEAF_REASONS:
-            return come_back(ErrorCode.NOT_READY, f"not heard: this node is {reason}; tell another one")
+        if reply.status == 200 and not self._agent.ready and reason in DEAF_REASONS:
+            return come_back(ErrorCode.NOT_READY, f"not passed on: this node is {reason}; tell another one")
+        return reply
+
+    def _hear(self, method: str, engine: str, body: bytes) -> Reply:
         if method == "DELETE":
             self._submit(EngineLeft(EngineId(engine), ONLY_INCARNATION))
             return Reply(200, b"{}")
         if method != "PUT":
             return json_reply(405, ErrorCode.METHOD_NOT_ALLOWED, "use PUT or DELETE")
-        return self._hear(engine, body)
+        return self._hear_heartbeat(engine, body)
 
-    def _hear(self, engine: str, body: bytes) -> Reply:
+    def _hear_heartbeat(self, engine: str, body: bytes) -> Reply:
         try:
             heartbeat = msgspec.json.decode(body, type=HeartbeatBody)
         except msgspec.DecodeError as error:
--- a/src/springmux/node/peer_channel.py
+++ b/src/springmux/node/peer_channel.py
@@ -14,7 +14,7 @@
 from springmux.node.metrics import NodeMetrics
 from springmux.node.peer_frames import FrameConnection
 from springmux.node.peer_hello import HelloError, HelloKeeper
-from springmux.node.peer_link import PeerLink
+from springmux.node.peer_link import CONNECT_TIMEOUT_S, FIRST_CONNECT_TIMEOUT_S, PeerLink
 
 ATTEMPT_TIMEOUT_S = 1.0
 """Connection and handshake together."""
@@ -167,7 +167,7 @@
             began_at = self._loop.time()
             greeted = False
             try:
-                link: PeerLink | None = await self._reach()
+                link: PeerLink | None = await self._reach(connect_timeout_s(failures))
                 failures, greeted = 0, True
                 while link is not None:
                     link = await self._hold(link)
@@ -193,7 +193,7 @@
         longest = min(BACKOFF_LIMIT_S, BACKOFF_FIRST_S * 2.0 ** min(failures, 8))
         return self._random.uniform(0.5, 1.0) * longest
 
-    async def _reach(self) -> PeerLink:
+    async def _reach(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> PeerLink:
         """Return a connection whose handshake is over.
 
         :raises HelloError: if the other side is no peer.
@@ -202,7 +202,7 @@
         link = PeerLink(self._address)
         try:
             async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
-                await link.connect()
+                await link.connect(connect_timeout_s)
                 await link.greet(self._keeper, self._lane)
         except BaseException:
             link.end()
@@ -269,3 +269,8 @@
                 self._metrics.count("peer_sent_messages_total", message.name)
                 self._metrics.count("peer_sent_bytes_total", message.name, amount=len(message.data))
             connection.send(payloads)
+
+
+def connect_timeout_s(failures: int) -> float:
+    """Return how long an attempt may take to connect (seconds): doubled by each failure, up to a bound."""
+    return min(CONNECT_TIMEOUT_S, FIRST_CONNECT_TIMEOUT_S * 2.0 ** min(failures, 8))
--- a/src/springmux/node/peer_link.py
+++ b/src/springmux/node/peer_link.py
@@ -18,6 +18,9 @@
     encode_handshake,
 )
 
+FIRST_CONNECT_TIMEOUT_S = 0.15
+"""Several round trips between regions. The machine that is asked may just be starting, as all do after a loss
+of power: what reached it too early was lost."""
 CONNECT_TIMEOUT_S = 0.5
 """The other side's kernel answers, also of a busy machine. An answer that is later than this was lost, and
 TCP itself asks again only after 1 s (RFC 6298): a new attempt finds the end of a cut sooner."""
@@ -45,13 +48,13 @@
         else:
             self.connection.close()
 
-    async def connect(self) -> None:
+    async def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Make the connection.
 
         :raises OSError: if it can't be made, :class:`TimeoutError` among them.
         """
         host, port = split_address(self._address)
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             await self._loop.create_connection(lambda: self.connection, host, port)
 
     async def greet(self, keeper: HelloKeeper, lane: str) -> None:
--- a/src/springmux/storage/log_recovery.py
+++ b/src/springmux/storage/log_recovery.py
@@ -41,6 +41,7 @@
     founding_members: GroupMembers | None = None
     base_index: LogIndex = LogIndex(0)
     entries: list[Entry] = []
+    committed: LogIndex = LogIndex(0)
 
     def last_index(self) -> LogIndex:
         """Return the newest entry's index, or the base of an empty log."""
@@ -171,6 +172,7 @@
         if batch.group is not None:
             content.group = batch.group
             content.founding_members = batch.founding_members
+        content.committed = max(content.committed, batch.committed)
         if batch.truncate_from is not None:
             _truncate(content, batch.truncate_from)
         for entry in batch.entries:
--- a/src/springmux/storage/records.py
+++ b/src/springmux/storage/records.py
@@ -54,6 +54,7 @@
     entries: tuple[Entry, ...]
     group: GroupId | None = None
     founding_members: GroupMembers | None = None
+    committed: LogIndex = LogIndex(0)
 
 
 class RawRecord(msgspec.Struct, frozen=True):
--- a/src/springmux/storage/replica_store.py
+++ b/src/springmux/storage/replica_store.py
@@ -206,6 +206,7 @@
             snapshot_data=chosen.data if chosen else b"",
             entries=entries,
             founding_members=content.founding_members,
+            committed=content.committed,
         )
 
     def _with_reserve(self, write: Callable[[], None]) -> None:
@@ -229,7 +230,9 @@
 
 def _batch_record(batch: Persist) -> BatchRecord:
     group, founding_members = batch.founding if batch.founding else (None, None)
-    return BatchRecord(batch.hard_state, batch.truncate_from, batch.entries, group, founding_members)
+    return BatchRecord(
+        batch.hard_state, batch.truncate_from, batch.entries, group, founding_members, batch.committed
+    )
 
 
 def _has_commands(entries: tuple[Entry, ...]) -> bool:
--- a/tests/support/consensus_cluster.py
+++ b/tests/support/consensus_cluster.py
@@ -25,7 +25,7 @@
     RecoveredState,
     SnapshotMeta,
 )
-from springmux.coordination.identifiers import GroupId, NodeId, ReplicaId, Term
+from springmux.coordination.identifiers import GroupId, LogIndex, NodeId, ReplicaId, Term
 from springmux.coordination.kernel import Effect, Event, MessageReceived, PeerMessage, Send, Tick
 
 State = list[tuple[int, bytes]]
@@ -47,12 +47,14 @@
         self.entries: list[Entry] = []
         self.snapshot: SnapshotMeta | None = None
         self.data = b""
+        self.committed = 0
         self.free_at = 0.0
 
     def write(self, batch: fx.Persist) -> None:
         if batch.founding is not None:
             self.group, self.founding = batch.founding
         self.hard_state = batch.hard_state or self.hard_state
+        self.committed = max(self.committed, batch.committed)
         if batch.truncate_from is not None:
             self.entries = [entry for entry in self.entries if entry.index < batch.truncate_from]
         for entry in batch.entries:
@@ -64,7 +66,14 @@
         after = self.snapshot.index if self.snapshot else 0
         entries = tuple(entry for entry in self.entries if entry.index > after)
         return RecoveredState(
-            self.replica, self.group, self.hard_state, self.snapshot, self.data, entries, self.founding
+            self.replica,
+            self.group,
+            self.hard_state,
+            self.snapshot,
+            self.data,
+            entries,
+            self.founding,
+            LogIndex(self.committed),
         )
 
 
--- a/tests/unit/consensus/test_cluster.py
+++ b/tests/unit/consensus/test_cluster.py
@@ -9,6 +9,7 @@
 from springmux.coordination.consensus.events import ChangeMember, MemberChangeKind, StopAnnounced
 from springmux.coordination.consensus.settings import ConsensusSettings
 from springmux.coordination.consensus.types import GroupMember
+from springmux.coordination.kernel import Tick
 from tests.support.consensus_cluster import Cluster
 
 THREE = ("a", "b", "c")
@@ -100,6 +101,22 @@
     assert set(tickets) <= set(cluster.acknowledged)
 
 
+def test_after_a_power_loss_of_all_each_replica_has_its_state_before_there_is_a_leader() -> None:
+    cluster = founded()
+    for number in range(5):
+        cluster.commit(b"%d" % number)
+    cluster.settle()
+    whole = {node: list(cluster.machines[node].state) for node in THREE}
+    for node in THREE:
+        cluster.crash(node)
+    for node in THREE:
+        cluster.restart(node)
+        cluster.give(node, Tick())
+        # The last commit is not on disk: no write came after it.
+        assert cluster.machines[node].state == whole[node][:-1] != []
+        assert not cluster.machines[node].status.leading
+
+
 def test_wiped_voters_are_replaced_in_turn_without_losing_a_command() -> None:
     cluster = founded()
     for node in THREE:
--- a/tests/unit/consensus/test_replica.py
+++ b/tests/unit/consensus/test_replica.py
@@ -201,3 +201,18 @@
     replica.handle(Tick(), 0.8)
     assert replica.next_deadline() > 0.8, "when nothing is left to write"
     assert not replica.status().disk_full
+
+
+def test_the_commit_index_goes_along_with_a_batch_and_is_no_reason_for_one() -> None:
+    replica = replica_b(entries=(entry(1, 1), entry(2, 2)))
+    appended = wire.RaftAppend("g", "ra", "rb", 2, 2, 2, 2, ())
+    effects = replica.handle(MessageReceived("a", appended), 0.1)
+    assert Apply((entry(1, 1), entry(2, 2))) in effects
+    assert not any(isinstance(effect, Persist) for effect in effects)
+    assert persist(replica.handle(vote("rc", last=(2, 2), term=4), 5.0)).committed == 2
+
+
+def test_a_commit_index_beyond_a_torn_log_applies_what_is_there() -> None:
+    entries = (entry(1, 1), entry(2, 1))
+    recovered = RecoveredState("rb", "g", HardState(2, None), None, b"", entries, MEMBERS, committed=9)
+    assert Apply(entries) in Replica(recovered, "b", random.Random(1)).handle(Tick(), 0.0)
--- a/tests/unit/node/test_peer_transport.py
+++ b/tests/unit/node/test_peer_transport.py
@@ -26,6 +26,7 @@
     Outgoing,
     PeerChannel,
     SendQueue,
+    connect_timeout_s,
 )
 from springmux.node.peer_frames import (
     MAX_HANDSHAKE_BYTES,
@@ -556,3 +557,8 @@
     for number in range(MAX_QUEUED_MESSAGES + 1):
         queue.put(Outgoing(str(number), b"0"))
     assert queue.pop().name == "1"
+
+
+def test_a_first_connection_is_tried_again_sooner_than_tcp_would() -> None:
+    """What reaches a machine before it is up, as after a loss of power, is lost: TCP repeats it after 1 s."""
+    assert [connect_timeout_s(failures) for failures in range(5)] == [0.15, 0.3, 0.5, 0.5, 0.5]
--- a/tests/unit/storage/test_replica_store.py
+++ b/tests/unit/storage/test_replica_store.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 
+import msgspec
 import pytest
 
 from springmux.coordination.consensus.effects import Persist
@@ -81,6 +82,16 @@
     assert recovered.entries == (entry(1, 3),)
 
 
+def test_the_newest_commit_index_survives_a_power_cut() -> None:
+    disk = MemoryDisk()
+    store = opened(disk)
+    for batch in (appending(entry(1)), appending(entry(2)), appending(entry(3))):
+        store.persist(msgspec.structs.replace(batch, committed=LogIndex(batch.entries[0].index - 1)))
+    store.persist(appending(term=4))
+    disk.power_cut()
+    assert store_on(disk).open().committed == 2
+
+
 def test_one_batch_costs_one_sync() -> None:
     disk = MemoryDisk()
     store = opened(disk)
