Requests that come right after a node's start wait for its configuration and engines

Cause: callers come as soon as a node listens.

Ruled out: a directory of engines kept on disk, for now.

Change: for 2 s after its start a node holds such requests, at most 256 at once, until it knows a configuration and an engine of the service. The request's own time goes on, and after 2 s all is as before.

The tests' stand-in of a node can now learn its configuration and engines later; no test was changed.

--- a/src/springmux/node/gateway/forwarder.py
+++ b/src/springmux/node/gateway/forwarder.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -15,6 +15,7 @@
 from springmux.gateway.routing import Admitted, KeyRefused, NoSuchRoute
 from springmux.node.gateway.forwarding import ForwardedRequest
 from springmux.node.gateway.headers import HeaderRules
+from springmux.node.gateway.start_hold import StartHold, no_hold
 from springmux.node.http.types import BodyTooLarge, ClientGone, EngineClient, ServerExchange
 from springmux.node.service_rates import ServiceRates
 
@@ -36,6 +37,7 @@
     headers: HeaderRules
     randomness: random.Random
     rates: ServiceRates
+    start_hold: StartHold = field(default_factory=no_hold)
 
 
 class Forwarder:
@@ -68,6 +70,7 @@
                 raise
 
     async def _handle(self, exchange: ServerExchange) -> None:
+        await self._services.start_hold.until_true(lambda: self._core.configured)
         admitted = self._admit(exchange)
         if isinstance(admitted, Refusal):
             self._refuse(exchange, admitted)
--- a/src/springmux/node/gateway/forwarding.py
+++ b/src/springmux/node/gateway/forwarding.py
@@ -59,6 +59,8 @@
         core.retry_budget.note_request(now)
         service = self._service()
         self.services.rates.dispatched(service)
+        await self.services.start_hold.until_true(lambda: bool(core.placement.versions(service)))
+        now = self._loop.time()
         selection = VersionSelection(
             core.chooser, service, self.route.name, self._prefix_key(), now, self.route.repeatable
         )
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -21,6 +21,7 @@
 from springmux.node.gateway.forwarder import Forwarder, ForwarderServices
 from springmux.node.gateway.headers import HeaderRules
 from springmux.node.gateway.settings import GatewaySettings, load_gateway_settings
+from springmux.node.gateway.start_hold import HOLD_S, StartHold
 from springmux.node.http.client import PooledEngineClient
 from springmux.node.http.server import HttpServer
 from springmux.node.http.types import ServerLimits
@@ -80,6 +81,7 @@
             headers=HeaderRules(names),
             randomness=random.Random(randomness.getrandbits(64)),
             rates=self._rates,
+            start_hold=StartHold(asyncio.get_running_loop().time() + HOLD_S),
         )
         control = ControlInterface(settings, self.agent, self.driver, self.metrics, self, self._rates)
         self._front = HttpServer(Forwarder(services).handle, self._front_limits)
--- a/tests/unit/node_gateway/stand_ins.py
+++ b/tests/unit/node_gateway/stand_ins.py
@@ -174,23 +174,31 @@
             "north", random.Random(1), self.chooser, UsagePart(NodeId("n1"), random.Random(2))
         )
         self.core.retry_budget.set_floor(20)
+        self._configuration = GatewayConfiguration(
+            1,
+            (used,),
+            {TEXT: GatewayService(TEXT)},
+            {tenant.name: tenant for tenant in tenants},
+            key_tenants={key: tenant.name for tenant in tenants for key in tenant.api_keys},
+        )
         if configured:
-            configuration = GatewayConfiguration(
-                1,
-                (used,),
-                {TEXT: GatewayService(TEXT)},
-                {tenant.name: tenant for tenant in tenants},
-                key_tenants={key: tenant.name for tenant in tenants for key in tenant.api_keys},
-            )
-            self.core.update_control(msgspec.structs.replace(EMPTY_VIEW, gateway=configuration), now())
+            self.configure()
+        self.know_engines(versions)
+        self.services = ForwarderServices(
+            self.core, self.client, HeaderRules(OWN_HEADERS), random.Random(3), ServiceRates()
+        )
+        self.forwarder = Forwarder(self.services)
+
+    def configure(self) -> None:
+        """Have the node learn its configuration."""
+        view = msgspec.structs.replace(EMPTY_VIEW, gateway=self._configuration)
+        self.core.update_control(view, now())
+
+    def know_engines(self, versions: Sequence[VersionName] = (OLD,) * 4) -> None:
+        """Have the node learn of engines, one of each of ``versions``."""
         records = {f"e{number}": record(number, version) for number, version in enumerate(versions)}
         known = {EngineId(name): found for name, found in records.items()}
         self.core.update_engines(EnginesView(known, dict.fromkeys(known, -100.0), {}), now())
-        self.forwarder = Forwarder(
-            ForwarderServices(
-                self.core, self.client, HeaderRules(OWN_HEADERS), random.Random(3), ServiceRates()
-            )
-        )
 
     async def ask(self, *headers: Header, **more: Any) -> Caller:
         """Have one caller answered."""
--- /dev/null
+++ b/tests/unit/node_gateway/test_start_hold.py
@@ -0,0 +1,92 @@
+"""Requests that come before a started node knows its configuration or any engine."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from springmux.node.gateway import start_hold
+from springmux.node.gateway.start_hold import HOLD_S, StartHold
+from tests.unit.node_gateway.scripted_engines import WHOLE, now, play
+from tests.unit.node_gateway.stand_ins import SAFE, Caller, Node
+
+
+def started(node: Node) -> Node:
+    """Return ``node`` as of its start."""
+    node.services.start_hold = StartHold(now() + HOLD_S)
+    return node
+
+
+def test_a_request_before_the_configuration_is_served_once_it_is_known() -> None:
+    """Given a node without configuration, which comes after 0.5 s: the engine's answer, not a refusal."""
+
+    async def story() -> None:
+        node = started(Node(SAFE, WHOLE, configured=False))
+        began = now()
+        asyncio.get_running_loop().call_later(0.5, node.configure)
+        caller = await node.ask()
+        assert caller.status == 200
+        assert caller.answered_at - began == pytest.approx(0.5, abs=0.05)
+
+    play(story())
+
+
+def test_a_request_before_any_engine_is_served_once_one_is_known() -> None:
+    """Given a configured node that knows no engine until 0.8 s after."""
+
+    async def story() -> None:
+        node = started(Node(SAFE, WHOLE, versions=()))
+        began = now()
+        asyncio.get_running_loop().call_later(0.8, node.know_engines)
+        caller = await node.ask()
+        assert caller.status == 200
+        assert caller.answered_at - began == pytest.approx(0.8, abs=0.05)
+
+    play(story())
+
+
+def test_nothing_is_held_longer_than_the_start_lasts() -> None:
+    """Given a configuration that never comes: 503 at the end of the start, and at once after it."""
+
+    async def story() -> None:
+        node = started(Node(SAFE, configured=False))
+        began = now()
+        first = await node.ask()
+        assert first.status == 503 and first.header(b"retry-after") == b"1.00"
+        assert first.answered_at - began == pytest.approx(HOLD_S, abs=0.05)
+        second = await node.ask()
+        assert second.status == 503 and second.answered_at == first.answered_at
+
+    play(story())
+
+
+def test_a_held_request_whose_caller_leaves_is_dropped_and_frees_its_place(monkeypatch) -> None:
+    """Given room for one, a second is refused at once; after the first has left, a third is held."""
+    monkeypatch.setattr(start_hold, "MOST_HELD", 1)
+
+    async def story() -> None:
+        node = started(Node(SAFE, WHOLE, configured=False))
+        leaving = Caller()
+        held = asyncio.ensure_future(node.forwarder.handle(leaving))
+        await asyncio.sleep(0.1)
+        assert (await node.ask()).status == 503
+        leaving.leave()
+        await held
+        assert not leaving.begun
+        asyncio.get_running_loop().call_later(0.2, node.configure)
+        assert (await node.ask()).status == 200
+
+    play(story())
+
+
+def test_a_held_request_keeps_its_own_time() -> None:
+    """Given a deadline of 0.3 s and a configuration after 0.5 s: nothing is sent, and the refusal says so."""
+
+    async def story() -> None:
+        node = started(Node(SAFE, WHOLE, configured=False))
+        asyncio.get_running_loop().call_later(0.5, node.configure)
+        caller = await node.ask((b"x-deadline-ms", b"300"))
+        assert caller.status == 503 and node.sent == []
+
+    play(story())
