A caller over the quota is sent away until the excess is worked off, spread over time

Cause: a small request that was refused under overload was told to come back after 0.05 s, since only the debt and its own tokens counted. Most callers come back once, so that one try was spent at once in the same overload; and at the end of a surge nobody was left to use the quota that fell free.

Change: the time told is at least what the rate takes to work off what was asked for beyond it in the last half second, 2.5 s at most, and callers are spread over the second half of it.

--- a/src/springmux/coordination/usage/bucket.py
+++ b/src/springmux/coordination/usage/bucket.py
@@ -119,7 +119,7 @@
         if not is_plenty:
             on_credit = self.level >= min(0.0, needed - self._debt())
             if not on_credit or draw >= self._chance(tokens):
-                return self._wait_s(tokens, standing, now)
+                return self._wait_s(tokens, standing, draw, now)
         self.spend(tokens, now)
         return None
 
@@ -225,12 +225,21 @@
         demand = self.fleet_demand(now)
         self.admit_probability = min(1.0, max(0.0, available / demand)) if demand > 0 else 1.0
 
-    def _wait_s(self, tokens: float, standing: Standing, now: float) -> float:
-        """Return when this node's part of the rate will have covered debt and request."""
-        part = self.own.demand(now) / max(self.fleet_demand(now), 1.0)
+    def _wait_s(self, tokens: float, standing: Standing, draw: float, now: float) -> float:
+        """Return when this node's part of the rate will have covered debt and request.
+
+        While more is asked for than the rate, a caller that comes back at once only adds to it. So it is
+        told to wait, spread by ``draw``, for as long as the rate takes to work the latest excess off.
+        """
+        demand = self.fleet_demand(now)
+        part = self.own.demand(now) / max(demand, 1.0)
         rate = max(1.0, self.limit.rate_per_s * standing.share)
         wait = max(0.0, -self.level) / rate + tokens / (rate * max(part, 1.0 / standing.fleet_size))
-        return min(self._settings.longest_wait_s, max(self._settings.shortest_wait_s, wait))
+        settings = self._settings
+        excess_s = (demand / rate - 1.0) * settings.demand_window_s
+        spread = 0.5 + 0.5 * draw
+        wait = max(wait, spread * min(excess_s, settings.longest_excess_wait_s))
+        return min(settings.longest_wait_s, max(settings.shortest_wait_s, wait))
 
     def _drain_peers(self, standing: Standing, now: float) -> float:
         drained = demand = 0.0
--- a/src/springmux/coordination/usage/events.py
+++ b/src/springmux/coordination/usage/events.py
@@ -89,3 +89,6 @@
     """Least time after which a refused caller is told to come back (task)."""
     longest_wait_s: float = 5.0
     """Longest such time: the estimate isn't worth more."""
+    longest_excess_wait_s: float = 2.5
+    """Longest time for which a caller is sent away only because too much is asked for: half of the shortest
+    deadline (5 s, task), so that a request has time left when it comes back."""
--- a/tests/unit/usage/test_part.py
+++ b/tests/unit/usage/test_part.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from springmux.coordination.identifiers import Address, NodeId, ZoneName
 from springmux.coordination.kernel import MessageReceived, Send, Tick
 from springmux.coordination.membership.view import MembershipView, NodeRecord
@@ -79,6 +81,37 @@
     assert node.admit("t", 5000.0, WARM + 6.0) is None
 
 
+def refused_with_demand_elsewhere(demand: int) -> float:
+    """Return the time told to a small request while another node has spent all and asks for ``demand``/s."""
+    node = part(A, B)
+    use = AccountUse("t", 1500, demand, -300, 1500)
+    node.handle(MessageReceived(B, UsageReport(5, 1, (use,))), WARM)
+    wait = node.admit("t", 10.0, WARM + 0.05)
+    assert wait is not None
+    return wait
+
+
+def test_while_far_more_is_asked_for_callers_are_sent_away_until_the_excess_is_worked_off() -> None:
+    """At six times the rate the last excess takes 2.5 s, which is the most; slightly above only debt counts."""
+    assert refused_with_demand_elsewhere(6000) == pytest.approx(2.5, abs=0.02)
+    assert refused_with_demand_elsewhere(8000) == pytest.approx(2.5, abs=0.02)
+    assert refused_with_demand_elsewhere(3000) == pytest.approx(1.0, abs=0.02)
+    assert refused_with_demand_elsewhere(1100) <= 0.5
+
+
+def test_callers_that_are_sent_away_come_back_spread_over_time() -> None:
+    node = UsagePart(A, random.Random(1))
+    node.handle(UsageMembersChanged(view(A, B)), 0.0)
+    node.handle(AccountLimitsChanged({"t": AccountLimit(1000.0, 1200.0)}), 0.0)
+    use = AccountUse("t", 1500, 6000, -300, 1500)
+    node.handle(MessageReceived(B, UsageReport(5, 1, (use,))), WARM)
+    waits = [node.admit("t", 10.0, WARM + 0.05) for _ in range(50)]
+    told = [wait for wait in waits if wait is not None]
+    assert len(told) >= 20
+    assert all(1.25 <= wait <= 2.5 for wait in told)
+    assert max(told) - min(told) > 1.0
+
+
 def test_what_never_ran_is_given_back() -> None:
     node = part(A)
     assert node.admit("t", 1200.0, WARM) is None
