Tests: the quota's bound when sizes turn each second and when every node begins anew

The part of the tokens is unchanged by what passes first, but the mix of sizes from which a node takes it is always late; and a loss of power of all, alone or during a cut with kills, was no scenario yet.

--- a/tests/unit/usage/scenarios.py
+++ b/tests/unit/usage/scenarios.py
@@ -147,6 +147,41 @@
     return with_faults(seed, 12, faults)
 
 
+def sizes_turn(seed: int) -> World:
+    """The swell asks for large requests only, then for small ones only, in turn."""
+    world = World(12, seed)
+    for second in range(int(SWELL_AT), int(SWELL_END)):
+        size = 20_000 if second % 2 == 0 else 400
+        for _ in range(round(USUAL * SWELL / size)):
+            when, node = second + world.random.random(), world.random.randrange(world.size)
+            world.at(when, lambda node=node, size=size: world.ask(node, ACCOUNT, size))
+    world.run(SWELL_END)
+    return world
+
+
+def all_restarted(world: World) -> None:
+    """Every node starts anew within half a second, in the middle of the swell."""
+    for node in range(world.size):
+        world.at(CUT_AT, lambda node=node: world.dead.add(node))
+        world.at(CUT_AT + 0.6 + 0.5 * node / world.size, lambda node=node: world.start(node))
+
+
+def power_lost_in_the_swell(seed: int) -> World:
+    return with_faults(seed, 12, all_restarted)
+
+
+def cut_killed_and_restarted(seed: int) -> World:
+    """Four nodes are cut off at the swell, two others killed, and all start anew during the cut."""
+
+    def faults(world: World) -> None:
+        cut(world, SWELL_AT, SWELL_AT + 9.0, [1, 4, 6, 9])
+        for node in (2, 7):
+            world.at(SWELL_AT + 1.0, lambda node=node: world.dead.add(node))
+        all_restarted(world)
+
+    return with_faults(seed, 12, faults)
+
+
 def lowered_then_raised(seed: int) -> World:
     def faults(world: World) -> None:
         world.at(12.0, lambda: world.set_limit(AccountLimit(LOWERED, BURST / 2)))
@@ -219,3 +254,6 @@
     ninety_lose_a_collector,
     ninety_freeze_a_collector,
 )
+
+BOUND_ONLY = (sizes_turn, power_lost_in_the_swell, cut_killed_and_restarted)
+"""Here only the bound is promised: nodes that begin anew keep to their share until they heard the others."""
--- a/tests/unit/usage/test_part.py
+++ b/tests/unit/usage/test_part.py
@@ -92,7 +92,7 @@
 
 
 def test_while_far_more_is_asked_for_callers_are_sent_away_until_the_excess_is_worked_off() -> None:
-    """At six times the rate the last excess takes 2.5 s, which is the most; slightly above only debt counts."""
+    """At six times the rate the last excess takes 2.5 s, the most; slightly above it only debt counts."""
     assert refused_with_demand_elsewhere(6000) == pytest.approx(2.5, abs=0.02)
     assert refused_with_demand_elsewhere(8000) == pytest.approx(2.5, abs=0.02)
     assert refused_with_demand_elsewhere(3000) == pytest.approx(1.0, abs=0.02)
--- a/tests/unit/usage/test_promise.py
+++ b/tests/unit/usage/test_promise.py
@@ -29,6 +29,14 @@
     assert admitted >= LEAST_OF_ONE_BUCKET * ideal
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("scenario", scenarios.BOUND_ONLY, ids=lambda scenario: scenario.__name__)
+def test_the_bound_holds_when_sizes_turn_and_when_all_begin_anew(scenario, seed) -> None:
+    world = scenario(seed)
+    assert world.admitted(scenarios.SWELL_AT, scenarios.SWELL_END) > 0.0
+    assert world.excess() <= world.allowance()
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("scenario", [scenarios.everywhere, scenarios.killed_and_restarted, scenarios.ninety])
 def test_under_overload_small_requests_pass_first_and_large_ones_still_pass(scenario, seed) -> None:
