--- a/src/springmux/coordination/usage/bucket.py
+++ b/src/springmux/coordination/usage/bucket.py
@@ -1,8 +1,9 @@
 """The fleet's bucket of one account as this node sees it, and whether a request is admitted.
 
 Source of the sharing: Raghavan et al., "Cloud control with distributed rate limiting", SIGCOMM 2007 (global
-random drop): near the limit every node admits with one probability, which follows from the fleet's
-demand. Each gets its share in proportion to its demand so, and no node's saved-up part lies idle.
+random drop): near the limit every node admits the same part of the tokens asked for, which follows from
+the fleet's demand. Each gets its share in proportion to its demand so, and no node's saved-up part lies
+idle. Which requests make up that part, ``request_sizes`` decides.
 """
 
 from __future__ import annotations
@@ -108,6 +109,8 @@
         :param draw: a random number in [0, 1).
         """
         self.own.ask(tokens, now)
+        if tokens < self.limit.burst:
+            self.own.sizes.note(tokens)
         self.advance(standing, now)
         self._set_probability(standing, now)
         needed = min(tokens, self._cap)
@@ -115,11 +118,17 @@
         is_plenty = self.level >= needed + others_soon
         if not is_plenty:
             on_credit = self.level >= min(0.0, needed - self._debt())
-            if not on_credit or draw >= self.admit_probability:
-                return self._wait_s(tokens, standing, now)
+            if not on_credit or draw >= self._chance(tokens):
+                return self._wait_s(tokens, standing, draw, now)
         self.spend(tokens, now)
         return None
 
+    def _chance(self, tokens: float) -> float:
+        """Return the chance of a request near the limit; one above the burst isn't judged by its size."""
+        if tokens >= self.limit.burst:
+            return self.admit_probability
+        return self.own.sizes.chance(tokens, self.admit_probability)
+
     def spend(self, tokens: float, now: float) -> None:
         """Count tokens; less than zero for those given back."""
         self.own.spend(tokens, now)
@@ -216,12 +225,21 @@
         demand = self.fleet_demand(now)
         self.admit_probability = min(1.0, max(0.0, available / demand)) if demand > 0 else 1.0
 
-    def _wait_s(self, tokens: float, standing: Standing, now: float) -> float:
-        """Return when this node's part of the rate will have covered debt and request."""
-        part = self.own.demand(now) / max(self.fleet_demand(now), 1.0)
+    def _wait_s(self, tokens: float, standing: Standing, draw: float, now: float) -> float:
+        """Return when this node's part of the rate will have covered debt and request.
+
+        While more is asked for than the rate, a caller that comes back at once only adds to it. So it is
+        told to wait, spread by ``draw``, for as long as the rate takes to work the latest excess off.
+        """
+        demand = self.fleet_demand(now)
+        part = self.own.demand(now) / max(demand, 1.0)
         rate = max(1.0, self.limit.rate_per_s * standing.share)
         wait = max(0.0, -self.level) / rate + tokens / (rate * max(part, 1.0 / standing.fleet_size))
-        return min(self._settings.longest_wait_s, max(self._settings.shortest_wait_s, wait))
+        settings = self._settings
+        excess_s = (demand / rate - 1.0) * settings.demand_window_s
+        spread = 0.5 + 0.5 * draw
+        wait = max(wait, spread * min(excess_s, settings.longest_excess_wait_s))
+        return min(settings.longest_wait_s, max(settings.shortest_wait_s, wait))
 
     def _drain_peers(self, standing: Standing, now: float) -> float:
         drained = demand = 0.0
--- a/src/springmux/gateway/placement.py
+++ b/src/springmux/gateway/placement.py
@@ -79,6 +79,10 @@
         """
         return self._ledger.take_changed()
 
+    def knows_engines(self, service: ServiceName) -> bool:
+        """Say whether an engine of the service is known that has not left."""
+        return self._table.pool(service) is not None
+
     def choose(
         self,
         service: ServiceName,
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -22,6 +22,7 @@
 from springmux.node.gateway.headers import HeaderRules
 from springmux.node.gateway.refusal_log import RefusalLog, counter_values
 from springmux.node.gateway.settings import GatewaySettings, load_gateway_settings
+from springmux.node.gateway.start_hold import HOLD_S, StartHold
 from springmux.node.http.client import PooledEngineClient
 from springmux.node.http.server import HttpServer
 from springmux.node.http.types import ServerLimits
@@ -95,6 +96,7 @@
             randomness=random.Random(randomness.getrandbits(64)),
             rates=self._rates,
             refusals=self._refusals,
+            start_hold=StartHold(asyncio.get_running_loop().time() + HOLD_S),
         )
         control = ControlInterface(settings, self.agent, self.driver, self.metrics, self, self._rates)
         self._front = HttpServer(Forwarder(services).handle, self._front_limits, self._refusals.note_server)
