A supervisor doesn't take a process for gone that is just becoming its program

Cause: between fork and the new program's start /proc/PID/cmdline is empty, and a supervisor that read it then said that the node doesn't run. Seen on a busy machine: test_another_supervisor_finds_the_processes_by_the_layout_file failed in four of ten runs of its file. Change: an empty command line is looked at again for up to a second.

--- a/src/springmux/fleet/supervisor.py
+++ b/src/springmux/fleet/supervisor.py
@@ -14,6 +14,9 @@
 
 from springmux.fleet.layout import FleetError, FleetLayout, NodeLayout
 
+BECOMING_S = 1.0
+"""How long a process that was just started may be without a command line, on a busy machine."""
+BECOMING_LOOK_S = 0.005
 STOP_GRACE_S = 15.0
 POLL_S = 0.05
 
@@ -146,10 +149,17 @@
 
 
 def _is_ours(layout: NodeLayout) -> bool:
-    """Check by its command line that the process id still belongs to this node."""
-    try:
-        command = Path(f"/proc/{layout.pid}/cmdline").read_bytes()
-        state = Path(f"/proc/{layout.pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
-    except OSError:
-        return False
-    return layout.settings_file.encode() in command and state != "Z"
+    """Check by its command line that the process id still belongs to this node.
+
+    A process that was just started has an empty one for a moment, while it becomes the new program.
+    """
+    deadline = time.monotonic() + BECOMING_S
+    while True:
+        try:
+            command = Path(f"/proc/{layout.pid}/cmdline").read_bytes()
+            state = Path(f"/proc/{layout.pid}/stat").read_text().rsplit(")", 1)[1].split()[0]
+        except OSError:
+            return False
+        if command or state == "Z" or time.monotonic() >= deadline:
+            return layout.settings_file.encode() in command and state != "Z"
+        time.sleep(BECOMING_LOOK_S)
--- a/tests/unit/fleet/test_supervisor.py
+++ b/tests/unit/fleet/test_supervisor.py
@@ -110,3 +110,20 @@
     supervisor.kill("a")
     supervisor.wipe("a")
     assert not data.exists()
+
+
+def test_a_process_that_is_just_becoming_its_program_is_waited_for(
+    supervisor: Supervisor, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Between its start and the new program's first instruction its command line is empty."""
+    supervisor.start("a")
+    other = Supervisor(load_layout(Path(supervisor.layout.folder)), trivial)
+    read_bytes = Path.read_bytes
+    empty = iter([b"", b""])
+
+    def early(path: Path) -> bytes:
+        first = next(empty, None) if path.name == "cmdline" else None
+        return read_bytes(path) if first is None else first
+
+    monkeypatch.setattr(Path, "read_bytes", early)
+    assert other.running("a")
