A cold long prompt is given the time that reading it takes

A node of many hears an engine seldom; a cold prompt of 17,000 tokens is read for 0.34 s and more, was given up half-way, and read anew elsewhere.

Change: the patience before the first event is at least twice the time that what lies ahead at the engine takes to read, by own and reported prompt tokens.

Ruled out: taking other nodes' progress as a sign of life (that news is 0.3 to 0.5 s old, later than the patience ends).

--- a/src/springmux/gateway/placement_tickets.py
+++ b/src/springmux/gateway/placement_tickets.py
@@ -33,6 +33,14 @@
     prefilling: bool = True
     open: bool = True
 
+    @property
+    def first_work_s(self) -> float:
+        """Time that the engine probably reads before this exchange's first event; 0 for plain services."""
+        if not self.model:
+            return 0.0
+        ahead_tokens = self.ahead_tokens + self.slot.other_tokens
+        return (self.expected_tokens + ahead_tokens) / PREFILL_TOKENS_PER_S
+
     @property
     def record(self) -> EngineRecord:
         """The engine as known when this is read."""
--- a/src/springmux/node/gateway/attempt.py
+++ b/src/springmux/node/gateway/attempt.py
@@ -288,7 +288,7 @@
         if not rules.spare_attempt:
             return None
         return SilenceWatch(
-            Patience(self._request.route),
+            Patience(self._request.route, self._ticket.first_work_s),
             lambda since: self._placement.silent_since(self._ticket, since),
             lambda: rules.reserve(self._loop.time()),
         )
--- a/tests/unit/gateway/test_patience.py
+++ b/tests/unit/gateway/test_patience.py
@@ -44,6 +44,24 @@
     assert Patience(ROUTE).is_over(silent_s, first, dark) is over
 
 
+@pytest.mark.parametrize(
+    ("first_work_s", "silent_s", "dark", "over"),
+    [
+        (0.34, 0.67, True, False),
+        (0.34, 0.69, True, True),
+        (0.34, 0.99, False, False),
+        (0.01, 0.31, True, True),
+        (0.80, 1.59, False, False),
+        (0.80, 1.61, False, True),
+    ],
+)
+def test_a_long_prompt_is_given_the_time_that_reading_it_takes(
+    first_work_s: float, silent_s: float, dark: bool, over: bool
+) -> None:
+    """Given a prompt that takes longer to read than the usual patience, its engine is no dark one."""
+    assert Patience(ROUTE, first_work_s).is_over(silent_s, True, dark) is over
+
+
 def test_a_retry_is_taken_before_an_engine_is_given_up() -> None:
     """Given no budget, there is nothing to give up for; given some, the retry is then paid already."""
     poor = AttemptRules(ROUTE, RetryBudget(0.15, 0), deadline=5.0)
--- a/tests/unit/gateway/test_placement.py
+++ b/tests/unit/gateway/test_placement.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 import msgspec
+import pytest
 
 from springmux.gateway.placement import ExchangeOutcome, Placement, PromptFacts
 from springmux.vocabulary.engines import EngineStatus
@@ -172,6 +173,19 @@
     assert {chosen(placement, SHORT, 1.0) for _ in range(20)} == {"e0"}
 
 
+def test_what_must_be_read_before_a_first_event_counts_all_that_lies_ahead() -> None:
+    records = engines(1)
+    placement = node(records)
+    placement.report_others({records[0].engine: (1.0, 10_000.0)})
+    cold = send(placement, records[0], 1.0, long_prompt("d"))
+    again = send(placement, records[0], 1.0, long_prompt("d"))
+    assert cold.first_work_s == pytest.approx((cold.expected_tokens + 10_000.0) / 50_000.0)
+    assert again.expected_tokens < cold.expected_tokens
+    assert again.first_work_s == pytest.approx(
+        (again.expected_tokens + cold.expected_tokens + 10_000.0) / 50_000.0
+    )
+
+
 def test_only_changes_of_the_own_load_are_told() -> None:
     records = engines(3)
     placement = node(records)
