Short terms try the candidate under load before done

Cause: a version that is bad only under load was released in short terms and failed after done, when nothing can be taken back. In the steps before done each candidate engine had at most a stable one's load, the canary of a thin service had used most of the credit by then, and the last step was evened out over routes as if it had a quarter of the weight, so its prompts never met on one engine.

Change: the step before the whole weight is now a load step. It sends its prompts to so few engines that each carries 2.5 times a stable engine's load, within nine tenths of its slots (Little's law on the measured rate and answer time). The canary and a new comparison step at a stable engine's load get 0.3 and 0.25 of the credit, the load step the rest. Under the load step only errors count for prompts; calls are held to four times the stable version's latency. A widened weight no longer counts as the last step, and the first step of a short term doesn't wait to save credit for the last one. The notes of steps and finish carry the evidence's counts.

Ruled out: comparing first tokens at four times under load. Two steps only, canary and load: slow versions that turn bad late were missed, since the canary alone had too few answers to compare.

--- a/src/springmux/rollout/issuer.py
+++ b/src/springmux/rollout/issuer.py
@@ -63,6 +63,7 @@
         self._order: tuple[ZoneName, ...] = ()
         self._order_weight = -1.0
         self._widen = 1.0
+        self._widen_weight = -1.0
         self._widen_at = now
         self._widen_totals = self.totals()
 
@@ -148,6 +149,9 @@
         self.entry = msgspec.structs.replace(self.entry, zone_weights_bp=tuple(weights), zone_rates=per_ten_s)
 
     def _widen_if_starved(self, record: RolloutRecord, now: float) -> None:
+        if record.plan.pacing.even and record.weight != self._widen_weight:
+            self._widen = 1.0
+            self._widen_weight = record.weight
         if now - self._widen_at < WIDEN_AFTER_S:
             return
         added = self.totals().less(self._widen_totals)
--- a/src/springmux/rollout/judgement/book.py
+++ b/src/springmux/rollout/judgement/book.py
@@ -39,6 +39,12 @@
 """Names are hashed to a byte: a bounded digest; a collision of two engines only makes it cautious."""
 REFERENCE_AGE_S = 10.0
 """A stable outcome older than this is not compared: load may have changed since."""
+LOADED_RATIO = 4.0
+"""Ratio of latencies from which a call without a prompt counts as slow while the candidate's engines carry
+more than stable ones do. Answers to prompts aren't compared then: cold caches and the load together make a
+good version many times slower."""
+ANSWER_TIME_WEIGHT = 0.05
+"""Weight of the newest answer in the mean time of stable answers."""
 LOSS_EVENT_S = 5.0
 """Lost prompts of one engine within this time are one event."""
 
@@ -143,6 +149,10 @@
         self._first_token_ratio = plan.limits.first_token_ratio
         self._token_gap_ratio = plan.limits.token_gap_ratio
         self._epoch_s = plan.by_s / EPOCHS
+        self.loaded = False
+        """Whether the candidate's engines are made to carry more than stable ones do (the load step)."""
+        self.stable_answer_s = 0.0
+        """Mean time of the stable version's answers, in seconds; 0 before the first."""
         self._began_at: float | None = None
         self._routes: dict[str, _RouteBook] = {}
         self._uses: dict[tuple[int, bool], _Use] = {}
@@ -179,6 +189,8 @@
         They are chosen at dispatch, and held, so that a look before the prompt's end is the same bet as at
         its end: a version that is many times slower is told while its first prompts are still waiting.
         """
+        if self.loaded:
+            return None
         known = self._routes.get(route)
         pools = known.strata.get(_stratum(prompt_bytes, expected_hit)) if known is not None else None
         if pools is None:
@@ -207,6 +219,16 @@
             ),
         )
 
+    def _ratio(self, usual: float) -> float:
+        return max(usual, LOADED_RATIO) if self.loaded else usual
+
+    def _note_answer_time(self, outcome: PromptOutcome) -> None:
+        if outcome.ending is not Ending.WHOLE or outcome.first_token_s is None:
+            return
+        answer_s = outcome.first_token_s + (outcome.token_gap_s or 0.0) * max(0, outcome.tokens - 1)
+        known_s = self.stable_answer_s or answer_s
+        self.stable_answer_s = known_s + ANSWER_TIME_WEIGHT * (answer_s - known_s)
+
     def _epoch_number(self, now: float) -> int:
         if self._began_at is None:
             self._began_at = now
@@ -235,6 +257,7 @@
         sums[_STABLE_BAD] += bad
         sums[_STABLE_TOTAL] += 1
         book.error_pool.append((now, bad))
+        self._note_answer_time(outcome)
         if first_token_s is not None:
             pools.usual.note(first_token_s)
             pools.first_token.append((now, first_token_s))
@@ -261,15 +284,17 @@
         sums[_ERROR_BETS_AT] += bet.odds_4
         sums[_ERROR_BETS_AT + 1] += bet.odds_16
         sums[_ERROR_BETS_AT + 2] += bet.odds_100
+        if self.loaded and outcome.prompt_bytes:
+            return
         if outcome.first_token_s is not None:
-            scaled_s = outcome.first_token_s / self._first_token_ratio
+            scaled_s = outcome.first_token_s / self._ratio(self._first_token_ratio)
             if watch is not None and not watch.told:
                 watch.told = True
                 _bet_among(sums, _FIRST_TOKEN_BETS_AT, watch.references, scaled_s)
             elif watch is None and pools is not None:
                 _bet_on_rank(sums, _FIRST_TOKEN_BETS_AT, pools.first_token, scaled_s, now)
         if outcome.token_gap_s is not None and pools is not None:
-            scaled_s = outcome.token_gap_s / self._token_gap_ratio
+            scaled_s = outcome.token_gap_s / self._ratio(self._token_gap_ratio)
             _bet_on_rank(sums, _TOKEN_GAP_BETS_AT, pools.token_gap, scaled_s, now)
 
 
--- a/src/springmux/rollout/participant.py
+++ b/src/springmux/rollout/participant.py
@@ -13,6 +13,7 @@
 from springmux.rollout.judgement.book import EvidenceBook
 from springmux.rollout.judgement.digest import EMPTY_DIGEST, EvidenceDigest, merge, subtract
 from springmux.rollout.judgement.judge import Judge, Verdict
+from springmux.rollout.load_step import is_load_step
 from springmux.rollout.plan import TERMINAL_PHASES, RolloutDecision, RolloutPhase, RolloutRecord
 from springmux.rollout.status import SampleHistory
 from springmux.rollout.token import RolloutEntry, index_of_zone, recover_accounts, with_account
@@ -108,6 +109,11 @@
         self._lease_end = -NEVER
         gate.begin(record.rollout, record.candidate, hash_salt(record), self._book, record.plan.pacing.even)
 
+    @property
+    def stable_answer_s(self) -> float:
+        """Mean time of the stable version's answers at this node, in seconds; 0 if it has none yet."""
+        return self._book.stable_answer_s
+
     @property
     def terminal(self) -> bool:
         """Whether the committed record is over."""
@@ -214,13 +220,15 @@
         self.abort(msgspec.structs.replace(decision, decided_by=str(self._own)))
 
     def _renew_lease(self, entry: RolloutEntry, visit: Visit) -> None:
-        active = self.record.phase in ACTIVE_PHASES and entry.phase in ACTIVE_PHASES
+        record = self.record
+        active = record.phase in ACTIVE_PHASES and entry.phase in ACTIVE_PHASES
         if self.aborted or not active or entry.weight <= 0:
             self.gate.close()
             return
+        self._book.loaded = is_load_step(record.plan, entry.weight)
         if self._lease_end > visit.now:
             weight = entry.zone_weight(visit.zones.index(self._zone))
-            self.gate.renew(weight, visit.engines_limit, visit.now, self._lease_end)
+            self.gate.renew(weight, visit.engines_limit, visit.now, self._lease_end, entry.weight >= 1.0)
 
 
 def hash_salt(record: RolloutRecord) -> int:
--- a/src/springmux/rollout/registry.py
+++ b/src/springmux/rollout/registry.py
@@ -8,11 +8,12 @@
 from springmux.coordination.identifiers import NodeId, Revision, ZoneName
 from springmux.coordination.kernel import Effect, Note, NoteLevel
 from springmux.rollout.events import ControlViewChanged, RolloutSettings
+from springmux.rollout.load_step import is_load_step, load_weight, loaded_engines
 from springmux.rollout.participant import Participant
 from springmux.rollout.plan import TERMINAL_PHASES, RolloutPhase, RolloutRecord
-from springmux.rollout.steering import engines_limit, ready_count
+from springmux.rollout.steering import engines_limit, ready_capacity, ready_count
 from springmux.rollout.token import RolloutEntry
-from springmux.rollout.version_filter import EVEN_LAST_WEIGHT, ServiceGate, VersionFilter
+from springmux.rollout.version_filter import ServiceGate, VersionFilter
 from springmux.vocabulary.engines import EnginesView
 from springmux.vocabulary.names import RolloutId, ServiceName, VersionName
 
@@ -66,12 +67,14 @@
     def engines_limit(self, entry: RolloutEntry) -> int:
         """Return on how many candidate engines the entry's weight is concentrated; 0 means all."""
         participant = self._participants.get(entry.service)
-        even = participant is not None and participant.record.plan.pacing.even
-        return engines_limit(
-            min(entry.weight, EVEN_LAST_WEIGHT) if even else entry.weight,
-            ready_count(self.engines, entry.service, entry.stable),
-            ready_count(self.engines, entry.service, entry.candidate),
-        )
+        stable = ready_count(self.engines, entry.service, entry.stable)
+        candidates = ready_count(self.engines, entry.service, entry.candidate)
+        if participant is None or not is_load_step(participant.record.plan, entry.weight):
+            return engines_limit(entry.weight, stable, candidates)
+        weight = min(entry.weight, load_weight(participant.record.plan.steps[-2], stable))
+        capacity = ready_capacity(self.engines, entry.service, entry.candidate) // max(1, candidates)
+        in_flight = entry.prompts_per_s * participant.stable_answer_s
+        return loaded_engines(weight, stable, candidates, capacity, in_flight)
 
     def refresh_rest(self, participant: Participant) -> None:
         """Let the candidate serve where it had the whole weight and stable's engines are gone.
--- a/src/springmux/rollout/schedule.py
+++ b/src/springmux/rollout/schedule.py
@@ -257,6 +257,9 @@
     """Say whether the first step waits because the ledger could not pay for the last one then."""
     if upcoming != plan.steps[0] or len(plan.steps) == 1:
         return False
+    if plan.pacing.even:
+        # The load step is what a short term saves for; the last step needs no credit of its own.
+        return False
     tail = step_durations(plan)[1:]
     done_s = plan.by_s - reserve_of(plan)
     first_s = done_s - sum(tail) - progress.elapsed_s
--- a/src/springmux/rollout/standard_plan.py
+++ b/src/springmux/rollout/standard_plan.py
@@ -1,37 +1,42 @@
 """The plan of an order that names only service, candidate and term: short terms keep canary and comparison.
 
 Terms of :data:`LONG_TERM_S` and more have the ordinary steps. Below, the shares of ``by_s`` would leave steps
-shorter than a lap of the token; two steps remain (docs/ROLLOUT.md, "Short terms").
+shorter than a lap of the token; three steps remain (docs/ROLLOUT.md, "Short terms").
 """
 
 from __future__ import annotations
 
 import msgspec
 
-from springmux.rollout.ledger import EXPOSE_TARGET
+from springmux.rollout.ledger import EXPOSE_TARGET, accruing_share, allowance_part
 from springmux.rollout.plan import Pacing, RolloutPlan
+from springmux.rollout.schedule import reserve_of
 from springmux.rollout.told import DONE_SETTLE_S
 from springmux.vocabulary.names import ServiceName, VersionName
 
 LONG_TERM_S = 30.0
 """From here on the ordinary steps last for two laps and more."""
-SHORT_CANARY = 0.045
-"""Below the 8% that accrue as credit, so that the step has some saved, and above the 4% of long terms."""
-SHORT_STEP = 0.25
-"""On so many engines that each has a stable one's load, which a few percent of the prompts don't give one."""
+SHORT_CANARY, SHORT_COMPARISON = 0.045, 0.10
+"""Weights where the service's rate isn't known; the canary's is below the 8% that accrue as credit."""
+LOAD_STEP = 0.25
+"""Least weight of the load step; with few stable engines it is larger (:mod:`.load_step`)."""
 CANARY_OF_SHARE = 0.6
 """Bounds the canary's weight for small exposure shares: 0.06 of the usual 0.10."""
-CANARY_OF_EXPOSURE = 0.35
-"""Part of all that a bad version may get, share and allowance, that a short term's canary may use."""
-LARGEST_SHORT_CANARY = 0.2
-"""Below the step that follows."""
+CANARY_OF_CREDIT, COMPARISON_OF_CREDIT = 0.3, 0.25
+"""Parts of the credit before *done*. The rest is for the load step: a fault that shows only under load takes
+some thirty prompts in a second or two on one engine."""
+LARGEST_COMPARISON = 0.2
+"""Below the load step."""
+LEAST_RISE = 1.25
+"""Of the weight from the canary to the comparison."""
 AFTER_DONE_S = 1.3
 """From the commit of *done* to the term, in which a version that turned out bad would get all prompts. They
 count as its exposure too, so a short term keeps credit for them."""
 LEAST_PART_BEFORE_DONE = 0.25
 ALLOWANCE_BEFORE_DONE = 0.95
 """The rest is for what a quick handover hides of the canary's weight, two laps of it, and for a late end."""
-STEP_SHARE, MINIMUM_STEP_S = 0.20, 0.8
+COMPARISON_TIME, LOAD_TIME, MINIMUM_STEP_S = 0.15, 0.12, 0.8
+"""Parts of the term for the step in which latencies are compared once more, and for the load step."""
 LAST_STEP_S = 0.8
 """Two laps of the token."""
 RESERVE_SHARE, MINIMUM_RESERVE_S = 0.05, 0.9
@@ -52,8 +57,7 @@
     """Return the plan for a term of ``by_s`` seconds; any positive term gives one.
 
     :param prompts_per_s: the service's prompts a second, as the ordering node guesses; 0 if it can't tell.
-        A thin service's canary is larger, paid for by the allowance: 6% of 30 prompts a second would be too
-        few to judge within a short term.
+        A thin service's canary is larger and a busy one's smaller, so that the load step finds credit.
 
     A term under 10 s is too short for a leader change; it is done late rather than without evidence.
     """
@@ -76,14 +80,17 @@
     return plan if long else _shortened(plan, prompts_per_s)
 
 
-def _short_canary(plan: RolloutPlan, prompts_per_s: float) -> float:
-    """Return the weight of a short term's canary."""
-    usual = min(SHORT_CANARY, CANARY_OF_SHARE * plan.expose_share)
-    prompts = prompts_per_s * plan.by_s
-    if prompts <= 0.0:
-        return usual
-    exposure = plan.expose_share + plan.expose_allowance / prompts
-    return max(usual, min(LARGEST_SHORT_CANARY, CANARY_OF_EXPOSURE * exposure))
+def _short_weights(plan: RolloutPlan, prompts_per_s: float) -> tuple[float, float]:
+    """Return the weights of a short term's canary and comparison; ``plan`` has its pacing already."""
+    if prompts_per_s <= 0.0:
+        return min(SHORT_CANARY, CANARY_OF_SHARE * plan.expose_share), SHORT_COMPARISON
+    done_s = plan.by_s - reserve_of(plan)
+    comparison_s = plan.pacing.step_s[0]
+    canary_s = done_s - sum(plan.pacing.step_s)
+    credit = accruing_share(plan) * prompts_per_s * done_s + allowance_part(plan)
+    canary = min(EXPOSE_TARGET * plan.expose_share, CANARY_OF_CREDIT * credit / (prompts_per_s * canary_s))
+    comparison = COMPARISON_OF_CREDIT * credit / (prompts_per_s * comparison_s)
+    return canary, min(LARGEST_COMPARISON, max(LEAST_RISE * canary, comparison))
 
 
 def _share_before_done(plan: RolloutPlan) -> float:
@@ -93,12 +100,15 @@
 
 
 def _shortened(plan: RolloutPlan, prompts_per_s: float) -> RolloutPlan:
-    return msgspec.structs.replace(
+    paced = msgspec.structs.replace(
         plan,
-        canary_weight=_short_canary(plan, prompts_per_s),
-        steps=(SHORT_STEP, 1.0),
+        steps=(SHORT_COMPARISON, LOAD_STEP, 1.0),
         pacing=Pacing(
-            step_s=(max(MINIMUM_STEP_S, STEP_SHARE * plan.by_s), LAST_STEP_S),
+            step_s=(
+                max(MINIMUM_STEP_S, COMPARISON_TIME * plan.by_s),
+                max(MINIMUM_STEP_S, LOAD_TIME * plan.by_s),
+                LAST_STEP_S,
+            ),
             reserve_s=max(MINIMUM_RESERVE_S, RESERVE_SHARE * plan.by_s),
             told_after_s=DONE_SETTLE_S,
             last_step_paid=0.0,
@@ -110,3 +120,5 @@
             even=True,
         ),
     )
+    canary, comparison = _short_weights(paced, prompts_per_s)
+    return msgspec.structs.replace(paced, canary_weight=canary, steps=(comparison, *paced.steps[1:]))
--- a/src/springmux/rollout/steering.py
+++ b/src/springmux/rollout/steering.py
@@ -8,6 +8,7 @@
 from springmux.rollout.effects import AbortWanted, FinishWanted, StepWanted
 from springmux.rollout.issuer import IssuedRollout
 from springmux.rollout.judgement.final_look import final_look
+from springmux.rollout.load_step import is_load_step, load_weight
 from springmux.rollout.participant import ACTIVE_PHASES, Participant
 from springmux.rollout.plan import RolloutDecision, RolloutPhase
 from springmux.rollout.schedule import ANSWER_S, NextStep, Progress, StepKind, next_step
@@ -62,6 +63,9 @@
                 self._refused = msgspec.structs.replace(decision, decided_by="leader")
                 self.participant.abort(self._refused)
                 return self._wish_abort(now)
+        if step.kind is StepKind.STEP and is_load_step(record.plan, step.weight) and step.weight < 1.0:
+            stable = ready_count(engines, record.service, record.stable)
+            step = msgspec.structs.replace(step, weight=load_weight(step.weight, stable))
         return self._wait(step.reason) + self._wish(step, now)
 
     def _wish_abort(self, now: float) -> list[Effect]:
@@ -112,6 +116,7 @@
         self._wished_at = now
         elapsed_s = self.participant.clock.read(now)
         fields = {"service": record.service, "rollout": record.rollout, "elapsed_s": round(elapsed_s, 2)}
+        fields |= msgspec.structs.asdict(summarize(self.participant, self.issued))
         if step.kind is StepKind.FINISH:
             return [
                 FinishWanted(record.service, record.rollout, elapsed_s),
--- a/src/springmux/rollout/token.py
+++ b/src/springmux/rollout/token.py
@@ -84,6 +84,11 @@
     zone_rates: tuple[int, ...] = ()
     remembered: bool = False
 
+    @property
+    def prompts_per_s(self) -> float:
+        """The service's measured prompts a second."""
+        return sum(self.zone_rates) / 10.0
+
     def account(self, writer: int) -> Account | None:
         """Return the account of ``writer``, if the entry has one."""
         return next((account for account in self.accounts if account.writer == writer), None)
--- a/src/springmux/rollout/version_filter.py
+++ b/src/springmux/rollout/version_filter.py
@@ -26,8 +26,7 @@
 """With a larger share of a thin route's prompts fewer stable ones are left to compare with; at about a third
 a fault in half of the answers takes the fewest prompts to show."""
 EVEN_LAST_WEIGHT = 0.25
-"""At the whole weight credits are few, and would go to the widest route; they are still spread over routes,
-and over as few engines as at this weight."""
+"""At the whole weight credits are few, and would go to the widest route; they are spread over routes."""
 MAX_ROUTES = 8
 """Routes that are evened out; further ones get the weight itself. The evidence's digest has as many."""
 
@@ -160,16 +159,19 @@
             self.lapsed += self.available
             self.available = 0
 
-    def renew(self, weight: float, engines_limit: int, now: float, until: float = NEVER) -> None:
+    def renew(
+        self, weight: float, engines_limit: int, now: float, until: float = NEVER, last_step: bool = False
+    ) -> None:
         """Hold a fresh lease: ``weight`` of the prefixes, on ``engines_limit`` candidate engines.
 
         :param until: latest end of the lease, if it is before the usual one.
+        :param last_step: the committed weight is the whole; a widened ``weight`` reaches it before.
         """
         assert self.candidate is not None
         self._threshold = _HASH_RANGE if weight >= 1.0 else int(weight * _HASH_RANGE)
         self._route_thresholds = {}
         if self.even_routes:
-            shares = route_weights(self._route_prompts, min(weight, EVEN_LAST_WEIGHT))
+            shares = route_weights(self._route_prompts, EVEN_LAST_WEIGHT if last_step else weight)
             self._route_thresholds = {route: int(w * _HASH_RANGE) for route, w in shares.items()}
         self.candidate_choice = VersionChoice(
             versions=(self.candidate, self.stable), candidate=True, engines_limit=engines_limit
