--- a/tests/unit/bad_days/gateway_fleet.py
+++ b/tests/unit/bad_days/gateway_fleet.py
@@ -190,6 +190,10 @@
         """Plan an action for that many seconds after the fleet was made."""
         asyncio.get_running_loop().call_at(self.began + elapsed, action)
 
+    def at_once(self, elapsed: float, story: Callable[[], Coroutine[Any, Any, Any]]) -> None:
+        """Plan a coroutine that begins so many seconds after the fleet was made."""
+        self.at(elapsed, lambda: self._start(story()))
+
     def press(
         self,
         begin: float,
--- a/tests/unit/bad_days/gateway_rules.py
+++ b/tests/unit/bad_days/gateway_rules.py
@@ -55,19 +55,33 @@
 
 
 def passed_on_wrongly(fleet: GatewayFleet) -> list[bytes]:
-    """Return requests that an engine got with a key, or under a tenant that doesn't hold the key."""
+    """Return requests that engines got with a key, under another tenant, or with other stated tokens."""
     tenants: dict[str, str] = {}
     for node in fleet.nodes:
         tenants.update(node.core.table.configuration.key_tenants)
-    keys = {one.request_id: one.key for one in fleet.asked}
+    asked = {one.request_id: one for one in fleet.asked}
     wrong = []
     for run in fleet.farm.runs:
+        one = asked[run.request_id]
         named = run.tenant.decode() if run.tenant is not None else ""
-        if run.carries_key or named != tenants.get(keys[run.request_id], named):
+        usage = b"%d,0" % one.tokens if one.tokens else None
+        if run.carries_key or named != tenants.get(one.key, named) or run.token_usage != usage:
             wrong.append(run.request_id)
     return wrong
 
 
+def told_too_much_time(fleet: GatewayFleet) -> list[bytes]:
+    """Return requests of which an engine was told that more time is left than there is, by half a second."""
+    ends = {one.request_id: one.caller.received_at + TIMEOUT_S for one in fleet.asked}
+    longest = ANSWER_SLACK_S
+    return [run.request_id for run in fleet.farm.runs if run.at + run.told_s > ends[run.request_id] + longest]
+
+
+def denied(fleet: GatewayFleet) -> list[bytes]:
+    """Return proper requests that were answered as if the configuration forbade them."""
+    return [one.request_id for one in fleet.asked if one.caller.status in (401, 403, 404)]
+
+
 def run_with_key(fleet: GatewayFleet, key: str, since: float) -> list[bytes]:
     """Return requests with ``key`` that were asked after ``since`` seconds and ran."""
     ran = {run.request_id for run in fleet.farm.runs}
@@ -127,3 +141,4 @@
     assert foreign_or_damaged(fleet) == []
     assert held_too_long(fleet) == []
     assert passed_on_wrongly(fleet) == []
+    assert told_too_much_time(fleet) == []
--- a/tests/unit/bad_days/model_engines.py
+++ b/tests/unit/bad_days/model_engines.py
@@ -55,6 +55,9 @@
     at: float
     tenant: bytes | None
     carries_key: bool
+    token_usage: bytes | None
+    told_s: float
+    """Seconds that the engine was told to have left."""
 
 
 def whole_answer(request_id: bytes) -> bytes:
@@ -75,8 +78,10 @@
 class ModelEngine:
     """One engine. Its mode and behaviour may change at any time."""
 
-    def __init__(self, name: str, behaviour: Behaviour | None = None) -> None:
+    def __init__(self, name: str, behaviour: Behaviour | None = None, identity: str = "") -> None:
+        """:param identity: who listens at the address of ``name``, if another engine does by now."""
         self.name = name
+        self.identity = identity or name
         self.behaviour = behaviour or Behaviour()
         self.mode = Mode.UP
         self.working = 0
@@ -112,7 +117,9 @@
         shares = ("failing", "losing", "crossing", "late", "cutting")
         self._drawn = {name: source.random() < getattr(engine.behaviour, name) for name in shares}
         self._pieces = self._plan(head)
-        self.declined = engine.working >= engine.behaviour.slots
+        target = head.header(OWN_HEADERS.target_engine)
+        self.misdirected = target is not None and target != engine.identity.encode()
+        self.declined = self.misdirected or engine.working >= engine.behaviour.slots
         engine.working += 1
 
     def _plan(self, head: RequestHead) -> list[bytes]:
@@ -125,7 +132,8 @@
         """Return the head of this request's answer; one that ``accept`` refuses is skipped."""
         if self.declined:
             self._pieces = []
-            return self._answer(503, self._id, (OWN_HEADERS.not_executed, b"1"))
+            status = 421 if self.misdirected else 503
+            return self._answer(status, self._id, (OWN_HEADERS.not_executed, b"1"))
         await self._pause(LATE_S if self._drawn["late"] else self._engine.behaviour.service_s)
         if self._drawn["losing"]:
             raise ExchangeFailed(FailureKind.RESET)
@@ -215,7 +223,9 @@
         self.arrivals.append((now(), request_id))
         if not exchange.declined:
             carries_key = head.header(OWN_HEADERS.api_key) is not None
-            run = EngineRun(request_id, engine.name, now(), head.header(OWN_HEADERS.tenant), carries_key)
+            told_s = int(head.header(OWN_HEADERS.deadline_ms) or b"0") / 1000.0
+            tenant, usage = head.header(OWN_HEADERS.tenant), head.header(OWN_HEADERS.token_usage)
+            run = EngineRun(request_id, engine.identity, now(), tenant, carries_key, usage, told_s)
             self.runs.append(run)
         return exchange
 
--- a/tests/unit/bad_days/test_answers_late_lost_crossed.py
+++ b/tests/unit/bad_days/test_answers_late_lost_crossed.py
@@ -17,8 +17,9 @@
 from springmux.node.gateway.attempt import Attempt
 from springmux.node.gateway.forwarding import ForwardedRequest
 from springmux.node.gateway.headers import HeaderRules
+from springmux.node.http.types import RequestHead
 from tests.unit.bad_days import gateway_rules as rules
-from tests.unit.bad_days.gateway_fleet import SAFE, SETTLED_S, STREAM, UNSAFE, GatewayFleet
+from tests.unit.bad_days.gateway_fleet import SAFE, SETTLED_S, STREAM, TIMEOUT_S, UNSAFE, GatewayFleet
 from tests.unit.bad_days.model_engines import Behaviour
 from tests.unit.node_gateway.scripted_engines import play
 from tests.unit.node_gateway.stand_ins import tenant
@@ -50,6 +51,31 @@
 LATE = Behaviour(late=0.2)
 CROSSING = Behaviour(crossing=0.3)
 CUTTING = Behaviour(cutting=0.3)
+SLOW_THEN_LOST = Behaviour(service_s=0.7, losing=0.4)
+STALLED = Behaviour(service_s=8.0)
+
+
+@pytest.mark.parametrize("behaviour", [LATE, STALLED, SLOW_THEN_LOST], ids=["late", "stalled", "slow, lost"])
+def test_every_caller_has_an_end_half_a_second_after_its_routes_timeout(behaviour: Behaviour) -> None:
+    fleet = bad_answers(behaviour, SAFE, UNSAFE, STREAM)
+    rules.check_safety(fleet)
+    assert any(one.caller.status == 504 for one in fleet.asked), "nobody waited in vain"
+
+
+def test_every_caller_has_an_end_in_time_though_no_engine_takes_a_connection() -> None:
+    fleets: list[GatewayFleet] = []
+
+    async def story() -> None:
+        fleet = GatewayFleet(9)
+        fleets.append(fleet)
+        for engine in fleet.farm.engines.values():
+            engine.go_dark()
+        fleet.press(SETTLED_S, END, PER_S)
+        await fleet.run(END + AFTER_TIMEOUT_S)
+
+    play(story())
+    rules.check_safety(fleets[0])
+    assert {one.caller.status for one in fleets[0].asked} == {503}
 
 
 def test_lost_answers_run_nothing_twice_that_may_not_be_repeated() -> None:
@@ -171,3 +197,21 @@
 
     monkeypatch.setattr(HeaderRules, "__init__", without_own)
     assert rules.passed_on_wrongly(key_revoked()) != []
+
+
+def test_the_checker_sees_engines_told_of_more_time_than_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    request_for = HeaderRules.request_for
+
+    def with_the_whole_timeout(
+        header_rules: HeaderRules,
+        head: Any,
+        record: Any,
+        tenant: Any,
+        priority: int,
+        left_s: float,
+        last: Any,
+    ) -> RequestHead:
+        return request_for(header_rules, head, record, tenant, priority, TIMEOUT_S, last)
+
+    monkeypatch.setattr(HeaderRules, "request_for", with_the_whole_timeout)
+    assert rules.told_too_much_time(bad_answers(SLOW_THEN_LOST, SAFE)) != []
--- a/tests/unit/bad_days/test_engines_lost.py
+++ b/tests/unit/bad_days/test_engines_lost.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import msgspec
 import pytest
 
 from springmux.gateway import engine_pool, engine_standing
+from springmux.gateway.dialect import OWN_HEADERS
 from springmux.gateway.engine_health import EngineHealth
 from springmux.gateway.patience import Patience
+from springmux.node.gateway.headers import HeaderRules
+from springmux.node.http.types import RequestHead
 from springmux.vocabulary.engines import EngineStatus
 from tests.unit.bad_days import gateway_rules as rules
 from tests.unit.bad_days.gateway_fleet import SAFE, SETTLED_S, STREAM, GatewayFleet
-from tests.unit.bad_days.model_engines import Behaviour
+from tests.unit.bad_days.model_engines import Behaviour, ModelEngine
 from tests.unit.node_gateway.scripted_engines import play
 
 PER_S = 60.0
@@ -131,3 +137,58 @@
 ) -> None:
     monkeypatch.setattr(engine_standing, "_failing", lambda *_: [])
     assert rules.tried_share(one_engine("failing"), "e2", LOST_AT + 2.0, END) >= MOST_OF_FAILING
+
+
+STRANGER = "page-1"
+
+
+def address_reused() -> GatewayFleet:
+    """An engine crashes, and one of another service listens at its address before the directory knows."""
+    fleets: list[GatewayFleet] = []
+
+    async def story() -> None:
+        fleet = GatewayFleet(13)
+        fleets.append(fleet)
+        fleet.press(SETTLED_S, END, PER_S)
+        fleet.at(LOST_AT, fleet.farm.engines["e0"].crash)
+        fleet.at(LOST_AT + 0.1, lambda: fleet.farm.engines.update(e0=ModelEngine("e0", identity=STRANGER)))
+        fleet.at(LOST_AT + DIRECTORY_KNOWS_S, lambda: fleet.tell("e0", EngineStatus.LOST))
+        await fleet.run(END + AFTER_TIMEOUT_S)
+
+    play(story())
+    return fleets[0]
+
+
+def run_by_the_stranger(fleet: GatewayFleet) -> int:
+    return sum(run.engine == STRANGER for run in fleet.farm.runs)
+
+
+def failed_after_the_reuse(fleet: GatewayFleet) -> int:
+    return sum(one.caller.status in (421, 502) for one in fleet.asked if one.at > LOST_AT + 0.1)
+
+
+def test_an_engine_at_the_address_of_a_lost_one_runs_nothing() -> None:
+    fleet = address_reused()
+    rules.check_safety(fleet)
+    assert run_by_the_stranger(fleet) == 0
+    assert any(at - fleet.began > LOST_AT + 0.1 and name == "e0" for at, name in fleet.farm.tries)
+    assert failed_after_the_reuse(fleet) == 0
+
+
+def test_the_checker_sees_requests_that_name_no_engine(monkeypatch: pytest.MonkeyPatch) -> None:
+    request_for = HeaderRules.request_for
+
+    def without_target(header_rules: HeaderRules, *given: Any) -> RequestHead:
+        head = request_for(header_rules, *given)
+        left = tuple(header for header in head.headers if header[0] != OWN_HEADERS.target_engine)
+        return msgspec.structs.replace(head, headers=left)
+
+    monkeypatch.setattr(HeaderRules, "request_for", without_target)
+    assert run_by_the_stranger(address_reused()) > 0
+
+
+def test_the_checker_sees_a_misdirected_request_that_goes_nowhere_else(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(HeaderRules, "declined", lambda header_rules, head: head.status == 503)
+    assert failed_after_the_reuse(address_reused()) > 0
--- a/tests/unit/bad_days/test_traffic_swells.py
+++ b/tests/unit/bad_days/test_traffic_swells.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+import time
+from typing import Any
 
 import pytest
 
@@ -15,7 +17,7 @@
 from tests.unit.bad_days.gateway_fleet import SAFE, SETTLED_S, UNSAFE, GatewayFleet
 from tests.unit.bad_days.model_engines import Behaviour
 from tests.unit.gateway.engine_simulation import EngineShape, LoadExchange, Result, compare, trace
-from tests.unit.node_gateway.scripted_engines import play
+from tests.unit.node_gateway.scripted_engines import now, play
 from tests.unit.node_gateway.stand_ins import tenant
 
 RATE, BURST = 10_000.0, 12_000.0
@@ -73,6 +75,33 @@
     assert rules.quota_excess(hot_tenant(), "k1", RATE, BURST) > QUOTA_SLACK
 
 
+CLOCK_STEP_S = 3600.0
+
+
+def stepping_clock() -> float:
+    """Return a wall time that jumps an hour ahead each second."""
+    return now() + CLOCK_STEP_S * math.floor(now())
+
+
+def test_steps_of_the_wall_clock_refill_no_quota(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(time, "time", stepping_clock)
+    fleet = hot_tenant()
+    rules.check_safety(fleet)
+    assert rules.quota_excess(fleet, "k1", RATE, BURST) <= QUOTA_SLACK
+    assert served_tokens_per_s(fleet, "k1") >= 0.95 * RATE
+
+
+def test_the_checker_sees_a_quota_that_goes_by_the_wall_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    admit = Bucket.admit
+
+    def admit_by_wall_clock(bucket: Bucket, tokens: float, *given: Any) -> float | None:
+        return admit(bucket, tokens, *given[:-1], time.time())
+
+    monkeypatch.setattr(time, "time", stepping_clock)
+    monkeypatch.setattr(Bucket, "admit", admit_by_wall_clock)
+    assert rules.quota_excess(hot_tenant(), "k1", RATE, BURST) > QUOTA_SLACK
+
+
 FREE_AT = SWELL_AT + 3.0
 
 
