--- a/tests/unit/bad_days/gateway_fleet.py
+++ b/tests/unit/bad_days/gateway_fleet.py
@@ -96,11 +96,13 @@
 class FleetNode:
     """One node's forwarder, core and usage part."""
 
-    def __init__(self, name: str, farm: EngineFarm, source: random.Random) -> None:
+    def __init__(
+        self, name: str, farm: EngineFarm, source: random.Random, chooser: Chooser | None = None
+    ) -> None:
         self.name = NodeId(name)
         self.usage = UsagePart(self.name, random.Random(source.random()))
-        chooser = Chooser(VersionChoice(()))
-        self.core = GatewayCore("north", random.Random(source.random()), chooser, self.usage)
+        chosen_by = chooser or Chooser(VersionChoice(()))
+        self.core = GatewayCore("north", random.Random(source.random()), chosen_by, self.usage)
         log = RefusalLog(self.core.counters, EventLog(name, output=io.StringIO()), OWN_HEADERS.request_id)
         rules = HeaderRules(OWN_HEADERS)
         randomness = random.Random(source.random())
@@ -110,7 +112,8 @@
 class GatewayFleet:
     """A fleet that has settled. What happens in it is planned with :meth:`at` and :meth:`press`."""
 
-    def __init__(self, seed: int, nodes: int = 3, engines: int = 4) -> None:
+    def __init__(self, seed: int, nodes: int = 3, engines: int = 4, chooser: Chooser | None = None) -> None:
+        """:param chooser: the version filter of all nodes, if there is a rollout."""
         self.source = random.Random(seed)
         self.farm = EngineFarm(random.Random(self.source.random()))
         self.asked: list[Asked] = []
@@ -120,7 +123,7 @@
         self._numbers = itertools.count()
         self._version = 0
         self.began = now()
-        self.nodes = [FleetNode(f"n{number}", self.farm, self.source) for number in range(nodes)]
+        self.nodes = [FleetNode(f"n{number}", self.farm, self.source, chooser) for number in range(nodes)]
         for node in self.nodes:
             node.core.least_fleet_retries = LEAST_FLEET_RETRIES
             node.core.update_fleet(nodes)
@@ -162,13 +165,17 @@
         node.usage.handle(AccountLimitsChanged(limits), now())
 
     def add_engine(
-        self, name: str, behaviour: Behaviour | None = None, first_seen: float | None = None
+        self,
+        name: str,
+        behaviour: Behaviour | None = None,
+        first_seen: float | None = None,
+        version: VersionName = V1,
     ) -> ModelEngine:
         """Start an engine; the directory lists it as new from now on, or as seen at ``first_seen``."""
         engine = self.farm.engines[name] = ModelEngine(name, behaviour)
         identity = EngineId(name)
         slots = engine.behaviour.slots
-        self._records[identity] = EngineRecord(identity, TEXT, V1, Address(f"{name}:80"), slots, 1)
+        self._records[identity] = EngineRecord(identity, TEXT, version, Address(f"{name}:80"), slots, 1)
         self._first_seen[identity] = now() if first_seen is None else first_seen
         self._show_directory()
         return engine
