A body that comes too slowly has its answer at the route's timeout

Cause: the forwarder waited for the request's body outside the route's time; with a body that came after 4 s a route of 2 s was answered after 4 s (test_slow_body, which failed). Now the time counts from the request's head: 503, since nothing has run.

--- a/src/springmux/node/gateway/forwarder.py
+++ b/src/springmux/node/gateway/forwarder.py
@@ -78,18 +78,23 @@
         if isinstance(admitted, Refusal):
             self._refuse(exchange, admitted)
             return
+        deadline = exchange.received_at + self._allowed_s(exchange, admitted)
         try:
-            body = await exchange.body()
+            async with asyncio.timeout_at(deadline):
+                body = await exchange.body()
         except BodyTooLarge:
             self._refuse(exchange, attempts.BODY_TOO_LARGE, admitted)
             return
+        except TimeoutError:
+            self._refuse(exchange, attempts.TOO_LATE_UNSENT, admitted)
+            return
         now = asyncio.get_running_loop().time()
         usage = exchange.head.header(self._headers.names.token_usage)
         wait_s = self._take_quota(admitted, usage, now)
         if wait_s is not None:
             self._refuse(exchange, attempts.over_quota(wait_s), admitted)
             return
-        await self._forward(exchange, admitted, body)
+        await self._forward(exchange, admitted, body, deadline)
 
     def _admit(self, exchange: ServerExchange) -> Admitted | Refusal:
         if not self._core.configured:
@@ -112,11 +117,12 @@
             return None
         return self._core.usage.admit(tenant.name, quota_tokens(tenant, usage), now)
 
-    async def _forward(self, exchange: ServerExchange, admitted: Admitted, body: bytes) -> None:
+    async def _forward(
+        self, exchange: ServerExchange, admitted: Admitted, body: bytes, deadline: float
+    ) -> None:
         names = self._headers.names
         head = exchange.head
         facts = parse_facts(head.header(names.prompt_prefix), head.header(names.token_usage))
-        deadline = exchange.received_at + self._allowed_s(exchange, admitted)
         if asyncio.get_running_loop().time() >= deadline:
             self._refuse(exchange, attempts.TOO_LATE_UNSENT, admitted)
             return
