--- a/tests/unit/gateway/test_engine_health.py
+++ b/tests/unit/gateway/test_engine_health.py
@@ -12,7 +12,21 @@
 from springmux.vocabulary.engines import EngineRecord
 
 from .places import free_places
-from .transcripts import PLAIN, SHORT, TEXT, V1, V2, chosen, engine, engines, exchange, node, send, view
+from .transcripts import (
+    PLAIN,
+    SHORT,
+    TEXT,
+    V1,
+    V2,
+    choose_and_send,
+    chosen,
+    engine,
+    engines,
+    exchange,
+    node,
+    send,
+    view,
+)
 
 O = ExchangeOutcome  # noqa: E741
 ANY = PromptFacts((), 300)
@@ -247,10 +261,7 @@
     traffic(placement, records, {f"e{number}": 2 for number in range(10, 13)}, 20)
     counts: Counter[str] = Counter()
     for _ in range(160):
-        record = placement.choose(TEXT, (V2, V1), ANY, (), 12.0)
-        assert record is not None
-        send(placement, record, 12.0, ANY)
-        counts[record.engine] += 1
+        counts[choose_and_send(placement, ANY, 12.0, (V2, V1))] += 1
     assert sorted(counts) == [f"e{number}" for number in range(10, 14)]
     assert all(36 <= count <= 44 for count in counts.values())
 
--- a/tests/unit/gateway/test_placement.py
+++ b/tests/unit/gateway/test_placement.py
@@ -19,6 +19,7 @@
     TEXT,
     V1,
     V2,
+    choose_and_send,
     chosen,
     engine,
     engines,
@@ -121,10 +122,7 @@
     placement = node(records)
     ticket = send(placement, records[0], 1.0, long_prompt("d"))
     for _ in range(6):
-        record = placement.choose(TEXT, (V1,), SHORT, (), 1.0)
-        assert record is not None
-        assert record.engine != "e0"
-        send(placement, record, 1.0)
+        assert choose_and_send(placement, SHORT, 1.0) != "e0"
     placement.first_event(ticket, 1.1)
     assert chosen(placement, PromptFacts((), 300), 3.0) == "e0"
 
@@ -147,10 +145,7 @@
     counts: Counter[str] = Counter()
     for number in range(40):
         facts = PromptFacts((("common", 55), (f"s{number}", 37), (f"o{number}", 291)), 383, 60)
-        record = placement.choose(TEXT, (V1,), facts, (), 1.0)
-        assert record is not None
-        send(placement, record, 1.0, facts)
-        counts[record.engine] += 1
+        counts[choose_and_send(placement, facts, 1.0)] += 1
     assert set(counts.values()) == {10}
 
 
@@ -377,12 +372,5 @@
     records = engines(3)
     placement = node(records)
     placement.report_others({record.engine: (9.0, 0.0) for record in records[:2]})
-    counts = Counter(chosen_and_sent(placement) for _ in range(30))
+    counts = Counter(choose_and_send(placement, PLAIN, 1.0) for _ in range(30))
     assert dict(counts) == {"e0": 10, "e1": 10, "e2": 10}
-
-
-def chosen_and_sent(placement: Placement) -> str:
-    record = placement.choose(TEXT, (V1,), PLAIN, (), 1.0)
-    assert record is not None
-    send(placement, record, 1.0, PLAIN)
-    return record.engine
--- a/tests/unit/gateway/transcripts.py
+++ b/tests/unit/gateway/transcripts.py
@@ -80,6 +80,16 @@
     return placement.began(record, facts, now)
 
 
+def choose_and_send(
+    placement: Placement, facts: PromptFacts, now: float, versions: tuple[VersionName, ...] = (V1,)
+) -> str:
+    """Send a request to the engine that is chosen for it; return the engine's name."""
+    record = placement.choose(TEXT, versions, facts, (), now)
+    assert record is not None
+    send(placement, record, now, facts)
+    return record.engine
+
+
 def exchange(
     placement: Placement,
     record: EngineRecord,
