--- a/src/springmux/gateway/core.py
+++ b/src/springmux/gateway/core.py
@@ -20,8 +20,21 @@
 
 FLEET_RETRY_SHARE = 0.75
 """Part of the fleet's least number of retries that its nodes share; the rest is for nodes not yet known."""
-NODE_RETRY_SHARE = 0.15
-"""A bound on each node bounds the fleet; the fleet's own is 0.2 (docs/notes/retries.md)."""
+NODE_RETRY_PART = 0.75
+"""Part of the fleet's share of retries that each node allows itself, since counts differ at a window's edges;
+a bound on each node bounds the fleet (docs/notes/retries.md)."""
+LEAST_NODE_RETRIES = 2
+"""One more than the retry that a node is in the middle of, where the fleet's bound allows it to all."""
+SHORTEST_WINDOW_S = 0.1
+"""Retries are told apart in time no finer than this."""
+
+
+class RetryBounds(msgspec.Struct, frozen=True):
+    """The fleet's bound on repeats: in any ``window_s``, ``share`` of its requests and ``least`` more."""
+
+    share: float = 0.2
+    least: float = 0.0
+    window_s: float = 10.0
 
 
 class RolloutInForce(msgspec.Struct, frozen=True):
@@ -39,10 +52,10 @@
         self.usage = usage
         self.placement = Placement(zone, source)
         self.table = RouteTable(EMPTY_GATEWAY)
-        self.retry_budget = RetryBudget(NODE_RETRY_SHARE)
+        self._retry_bounds = RetryBounds()
+        self.retry_budget = _budget(self._retry_bounds)
         self.counters = GatewayCounters()
         self.rollouts: dict[ServiceName, RolloutInForce] = {}
-        self.least_fleet_retries = 0
         self._view: ControlView = EMPTY_VIEW
 
     @property
@@ -55,6 +68,11 @@
         """The control state in force."""
         return self._view
 
+    def bound_retries(self, bounds: RetryBounds) -> None:
+        """Take the fleet's bound on repeats; called before the first request."""
+        self._retry_bounds = bounds
+        self.retry_budget = _budget(bounds)
+
     def update_control(self, view: ControlView, now: float) -> None:
         """Take a newer control state; an older one is ignored."""
         if view.revision < self._view.revision:
@@ -80,8 +98,7 @@
     def update_fleet(self, nodes: int) -> None:
         """Take the number of present nodes, over which the fleet's bounds are spread."""
         self.placement.set_fleet_size(nodes)
-        floor = max(2, int(FLEET_RETRY_SHARE * self.least_fleet_retries / max(1, nodes)))
-        self.retry_budget.set_floor(floor)
+        self.retry_budget.set_floor(_node_floor(self._retry_bounds.least, max(1, nodes)))
 
     def _take_rollouts(self, view: ControlView, now: float) -> None:
         kept: dict[ServiceName, RolloutInForce] = {}
@@ -91,3 +108,13 @@
             since = known.since if known is not None and same else now
             kept[service] = RolloutInForce(record, since)
         self.rollouts = kept
+
+
+def _node_floor(least: float, nodes: int) -> int:
+    """Return the retries that one of ``nodes`` may send beside its share; more than one only if all may."""
+    usual = int(FLEET_RETRY_SHARE * least / nodes)
+    return max(1, usual, min(LEAST_NODE_RETRIES, int(least / nodes)))
+
+
+def _budget(bounds: RetryBounds) -> RetryBudget:
+    return RetryBudget(NODE_RETRY_PART * bounds.share, window_s=max(SHORTEST_WINDOW_S, bounds.window_s))
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -13,6 +13,7 @@
 from springmux.agent.readiness import STOPPING
 from springmux.coordination.kernel import NoteLevel
 from springmux.coordination.membership.events import SeedsChanged
+from springmux.gateway.core import RetryBounds
 from springmux.gateway.dialect import OWN_HEADERS, HeaderNames
 from springmux.node.addresses import split_address
 from springmux.node.agent_codec import AgentCodec
@@ -76,7 +77,8 @@
         self.metrics = NodeMetrics()
         randomness = random.Random(int.from_bytes(os.urandom(8), "big"))
         self.agent = NodeAgent(settings.agent_settings(), opened.recovered, randomness, opened.claims)
-        self.agent.gateway.least_fleet_retries = settings.fleet_retries
+        retries = RetryBounds(settings.retry_share, settings.fleet_retries, settings.retry_window_s)
+        self.agent.gateway.bound_retries(retries)
         self.driver = AgentDriver(self.agent, log, self.metrics)
         if settings.data_folder and opened.store is None:
             self.driver.replica_stopped_reason = opened.reason
--- a/src/springmux/node/gateway/rollout_endpoints.py
+++ b/src/springmux/node/gateway/rollout_endpoints.py
@@ -76,8 +76,8 @@
             candidate,
             wanted.by_s,
             settings.expose_share,
-            settings.expose_allowance,
-            settings.rollback_ms,
+            int(settings.expose_allowance),
+            int(settings.rollback_ms),
             self._rates.per_s(service, RECENT_S) * max(1, len(self._agent.membership.present())),
         )
         # Made from the order itself, so that the same one sent again to any node means the same rollout.
--- a/src/springmux/node/gateway/settings.py
+++ b/src/springmux/node/gateway/settings.py
@@ -16,6 +16,7 @@
 from springmux.agent.events import AgentSettings
 from springmux.coordination.identifiers import Address, NodeId
 from springmux.node.addresses import MAX_PORT, check_address
+from springmux.node.gateway.setting_texts import base_kind, read_texts
 from springmux.vocabulary.errors import FieldError, SettingsError
 
 MAX_SHOWN = 80
@@ -32,10 +33,11 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Losses = Annotated[int, msgspec.Meta(ge=0, le=10)]
 """With 10 the control group has 21 voters; a larger one only gets slower."""
-Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+"""A bound on a count. It may be a fraction, as where it was scaled with the fleet."""
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
-GraceSeconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=3_600_000)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
 TimeoutSeconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 
 
@@ -46,7 +48,11 @@
     engines. ``seeds``: addresses of three or fewer other nodes; only the host counts, since peers listen
     on ``peer_port`` everywhere. ``first_start``: the whole fleet starts for the first time, on empty disks.
     ``losses_tolerated``: controllers that may be lost at once.
-    ``fleet_retries``: repeats that the whole fleet may send in ten seconds beside its share of requests.
+    ``fleet_retries``: repeats that the whole fleet may send in ``retry_window_s`` beside ``retry_share`` of
+    its requests. ``strict_revocation``: a node that can't tell whether its keys are current refuses keyed
+    requests, so that a key is dead everywhere ``revocation_ms`` after its removal was acknowledged.
+
+    A value may also be written as text, as in an environment variable; an empty one means the default.
     """
 
     node: Name
@@ -62,11 +68,15 @@
     first_start: bool = False
     losses_tolerated: Losses = 1
     data_folder: str = ""
-    fleet_retries: Count = 64
+    fleet_retries: Amount = 64
+    retry_share: Share = 0.2
+    retry_window_s: Seconds = 10.0
+    strict_revocation: bool = False
+    revocation_ms: Milliseconds = 5000
     expose_share: Share = 0.1
-    expose_allowance: Count = 50
+    expose_allowance: Amount = 50
     rollback_ms: Milliseconds = 5000
-    stop_grace_s: GraceSeconds = 8.0
+    stop_grace_s: Seconds = 8.0
     order_timeout_s: TimeoutSeconds = 4.0
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
@@ -107,6 +117,9 @@
         raise SettingsError((FieldError("--settings", f"can't read {file}: {error.strerror}"),)) from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise SettingsError((FieldError("--settings", f"{file} is not TOML: {error}"),)) from None
+    fields = msgspec.structs.fields(GatewaySettings)
+    kinds = {field.name: field.type for field in fields}
+    table = read_texts(table, kinds, {field.name for field in fields if field.required})
     wrong = _wrong_fields(table)
     if wrong:
         raise SettingsError(tuple(wrong))
@@ -161,7 +174,7 @@
     """Return the type of a setting and its range in words."""
     if get_origin(kind) is Literal:
         return " or ".join(get_args(kind))
-    base, *metadata = get_args(kind) if get_origin(kind) is Annotated else (kind,)
+    base, metadata = base_kind(kind)
     words = _KINDS[base]
     for meta in metadata:
         if meta.min_length is not None:
