Strict revocation: a node relies on its keys only under a lease

Cause: strict_revocation and revocation_ms reached no setting; a node out of contact, frozen or freshly started served by its last configuration for ever, so a key that was taken away went on running there. Without a proof keyed requests get 503 with a time to come back, and the node isn't ready; public routes are served. Off unless the settings ask for it.

--- a/src/springmux/agent/effect_routing.py
+++ b/src/springmux/agent/effect_routing.py
@@ -23,6 +23,8 @@
 from springmux.control.delivery import events as delivery_events
 from springmux.control.delivery import messages as delivery_messages
 from springmux.control.delivery.effects import ApplyCommands, AskLeaderRevision, ProvideSnapshot, ReplaceState
+from springmux.control.freshness import messages as freshness_messages
+from springmux.control.freshness.events import QuorumConfirmed
 from springmux.control.order_events import AnswerOrder, ProposalEnded, ProposeCommand, SubmitOrder
 from springmux.coordination.claims import messages as claim_messages
 from springmux.coordination.claims.events import ClaimResolved
@@ -125,6 +127,7 @@
         known, parts = self.leadership.known, self.parts
         self.chores.lead(known.leading, now)
         effects = self.give(parts.delivery, known, now)
+        effects += self.give(parts.freshness, known, now)
         effects += self.give(parts.desk, known, now)
         effects += self.give(parts.rollout, IssuerChanged(known.leading, known.term), now)
         return effects + self.tell_candidates(now)
@@ -180,6 +183,7 @@
             (contact_messages, parts.contact),
             (directory_messages, parts.directory),
             (delivery_messages, parts.delivery),
+            (freshness_messages, parts.freshness),
             (order_messages, parts.desk),
             (claim_messages, parts.claims),
             (quota_messages, parts.quota),
@@ -199,7 +203,9 @@
         updated = MembershipUpdated(view)
         effects = self.give(parts.contact, updated, now)
         effects += self.give(parts.directory, updated, now)
-        effects += self.give(parts.delivery, delivery_events.MembershipChanged(view), now)
+        changed = delivery_events.MembershipChanged(view)
+        effects += self.give(parts.delivery, changed, now)
+        effects += self.give(parts.freshness, changed, now)
         effects += self.give(parts.rollout, FleetChanged(view), now)
         effects += self.give(parts.quota, QuotaMembersChanged(view), now)
         effects += self.give(parts.usage, UsageMembersChanged(view), now)
@@ -236,7 +242,9 @@
         beacon = self.chores.beacon(effect.ticket, self.leadership.known.term, now)
         if effect.index is None or beacon is None:
             return []
-        return self.give(self.parts.contact, beacon, now)
+        confirmed_at = QuorumConfirmed(now - beacon.age_s, effect.index)
+        effects = self.give(self.parts.freshness, confirmed_at, now)
+        return effects + self.give(self.parts.contact, beacon, now)
 
     def _on_replica_leadership(self, effect: raft.LeadershipChanged, now: float) -> list[Effect]:
         replica = self.parts.replica
--- a/src/springmux/agent/events.py
+++ b/src/springmux/agent/events.py
@@ -127,6 +127,9 @@
     ``controllers_expected``."""
     first_start: bool = True
     """Whether this is the first start of the whole system. Else an empty replica only joins, never founds."""
+    revocation_s: float | None = None
+    """Within this time of the acknowledgement a key that was taken away is refused everywhere, by nodes out
+    of contact too; ``None``: no such promise."""
 
     @property
     def voters(self) -> int:
--- a/src/springmux/agent/parts.py
+++ b/src/springmux/agent/parts.py
@@ -8,6 +8,8 @@
 from springmux.agent.directory.part import DirectoryPart
 from springmux.agent.events import AgentSettings
 from springmux.control.delivery.part import DeliveryPart
+from springmux.control.freshness.part import FreshnessPart
+from springmux.control.freshness.settings import lease_for
 from springmux.control.order_desk import OrderDesk
 from springmux.control.state import ControlState
 from springmux.coordination.claims.journal import RecoveredClaims
@@ -46,6 +48,7 @@
     contact: ContactPart
     directory: DirectoryPart
     delivery: DeliveryPart
+    freshness: FreshnessPart
     desk: OrderDesk
     claims: ClaimPart
     quota: QuotaPart
@@ -62,6 +65,7 @@
             self.contact,
             self.directory,
             self.delivery,
+            self.freshness,
             self.desk,
             self.claims,
             self.quota,
@@ -136,12 +140,22 @@
     if recovered is not None:
         replica = Replica(recovered, own, generator(), consensus_settings(settings))
     usage = UsagePart(own, generator())
-    gateway = GatewayCore(settings.zone, generator(), rollout.filter, usage)
+    delivery = DeliveryPart(own, generator())
+    revocation_s = settings.revocation_s
+    freshness = FreshnessPart(
+        own,
+        generator(),
+        lease_for(revocation_s) if revocation_s is not None else None,
+        lambda: state.view().revision,
+        lambda: (delivery.replica_index, delivery.revision),
+    )
+    gateway = GatewayCore(settings.zone, generator(), rollout.filter, usage, freshness.current)
     return NodeParts(
         membership=MembershipPart(own_record(settings, recovered), settings.seeds, generator()),
         contact=contact,
         directory=DirectoryPart(own, generator()),
-        delivery=DeliveryPart(own, generator()),
+        delivery=delivery,
+        freshness=freshness,
         desk=OrderDesk(own, state),
         claims=ClaimPart(own, generator(), recovered=claims),
         quota=quota,
--- a/src/springmux/agent/wire.py
+++ b/src/springmux/agent/wire.py
@@ -12,6 +12,7 @@
 from springmux.agent.directory import messages as directory_messages
 from springmux.control import order_messages
 from springmux.control.delivery import messages as delivery_messages
+from springmux.control.freshness import messages as freshness_messages
 from springmux.coordination.claims import messages as claim_messages
 from springmux.coordination.consensus import messages as consensus_messages
 from springmux.coordination.identifiers import NodeId, Revision, Term
@@ -29,6 +30,7 @@
     contact_messages,
     delivery_messages,
     directory_messages,
+    freshness_messages,
     membership_messages,
     order_messages,
     quota_messages,
--- a/src/springmux/control/delivery/part.py
+++ b/src/springmux/control/delivery/part.py
@@ -100,6 +100,11 @@
         """Index of the newest command given to the agent; goes into every envelope."""
         return self._applied.revision
 
+    @property
+    def replica_index(self) -> LogIndex:
+        """Log index up to which the own replica's commands were given to the agent."""
+        return self._replica_index
+
     @property
     def newest_heard(self) -> Revision:
         """The newest revision that a peer said to have."""
--- /dev/null
+++ b/src/springmux/control/freshness/events.py
@@ -0,0 +1,13 @@
+"""What the freshness part is told, beside messages, ticks and ``control.events.LeadershipKnown``."""
+
+from __future__ import annotations
+
+from springmux.coordination.identifiers import LogIndex
+from springmux.coordination.kernel import Event
+
+
+class QuorumConfirmed(Event, frozen=True):
+    """A quorum confirmed that this node led at ``asked_at``, when its log was committed up to ``index``."""
+
+    asked_at: float
+    index: LogIndex
--- /dev/null
+++ b/src/springmux/control/freshness/messages.py
@@ -0,0 +1,27 @@
+"""Messages by which a proof of freshness goes from node to node."""
+
+from __future__ import annotations
+
+from springmux.coordination.identifiers import Revision
+from springmux.coordination.kernel import PeerMessage
+
+
+class AskFreshness(PeerMessage, frozen=True):
+    """Ask a node how old its proof is. ``request`` tells answers apart."""
+
+    request: int
+
+
+class FreshnessTold(PeerMessage, frozen=True):
+    """Answer to :class:`AskFreshness`.
+
+    Everything acknowledged up to ``age_ms`` before this was sent is in ``revision``. ``age_ms`` is -1 where
+    the node has no proof.
+    """
+
+    request: int
+    age_ms: int
+    revision: Revision
+
+
+MESSAGES: tuple[type[PeerMessage], ...] = (AskFreshness, FreshnessTold)
--- a/src/springmux/gateway/attempts.py
+++ b/src/springmux/gateway/attempts.py
@@ -95,6 +95,14 @@
     RefusalReason.UNKNOWN_ROUTE, 404, "unknown_route", "no route of this host begins with this path"
 )
 NO_KEY = Refusal(RefusalReason.UNKNOWN_KEY, 401, "unknown_key", "the key is missing or not valid")
+KEYS_NOT_CURRENT = Refusal(
+    RefusalReason.KEYS_NOT_CURRENT,
+    503,
+    "keys_not_current",
+    "this node is out of contact and can't tell whether the key is still valid",
+    0.2,
+)
+"""Other nodes can probably tell, so the caller may come back soon."""
 BODY_TOO_LARGE = Refusal(
     RefusalReason.BODY_TOO_LARGE, 413, "body_too_large", "the body is larger than the limit"
 )
--- a/src/springmux/gateway/core.py
+++ b/src/springmux/gateway/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -47,7 +48,16 @@
 class GatewayCore:
     """Shared state of a node's forwarded requests. All calls come from one thread."""
 
-    def __init__(self, zone: str, source: random.Random, chooser: VersionChooser, usage: UsagePart) -> None:
+    def __init__(
+        self,
+        zone: str,
+        source: random.Random,
+        chooser: VersionChooser,
+        usage: UsagePart,
+        keys_current: Callable[[float], bool] = lambda now: True,
+    ) -> None:
+        """:param keys_current: says whether no key can have been taken away too long ago for this node."""
+        self._keys_current = keys_current
         self.chooser = chooser
         self.usage = usage
         self.placement = Placement(zone, source)
@@ -63,6 +73,10 @@
         """Whether any configuration is known; without one nothing can be routed."""
         return self._view.gateway.version > 0
 
+    def knows_keys(self, now: float) -> bool:
+        """Say whether this node can tell which keys are valid; so it can where none are asked for."""
+        return not self.table.configuration.requires_key or self._keys_current(now)
+
     @property
     def view(self) -> ControlView:
         """The control state in force."""
--- a/src/springmux/gateway/refusals.py
+++ b/src/springmux/gateway/refusals.py
@@ -13,6 +13,8 @@
     NO_CONFIGURATION = "no_configuration"
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_KEY = "unknown_key"
+    KEYS_NOT_CURRENT = "keys_not_current"
+    """This node can't tell whether a key was taken away, and the fleet's settings promise that it can."""
     BODY_TOO_LARGE = "body_too_large"
     QUOTA_EXCEEDED = "quota_exceeded"
     NO_ENGINE = "no_engine"
--- a/src/springmux/gateway/routing.py
+++ b/src/springmux/gateway/routing.py
@@ -23,6 +23,11 @@
     route: GatewayRoute
     tenant: GatewayTenant | None
 
+    @property
+    def by_key(self) -> bool:
+        """Whether the request is let through for its key."""
+        return self.tenant is not None and not self.route.public
+
 
 class RouteTable:
     """Lookup tables of one configuration, made once for each version. A lookup reads a few dictionaries."""
--- a/src/springmux/node/gateway/forwarder.py
+++ b/src/springmux/node/gateway/forwarder.py
@@ -73,7 +73,7 @@
                 raise
 
     async def _handle(self, exchange: ServerExchange) -> None:
-        await self._services.start_hold.until_true(lambda: self._core.configured)
+        await self._services.start_hold.until_true(self._may_begin)
         admitted = self._admit(exchange)
         if isinstance(admitted, Refusal):
             self._refuse(exchange, admitted)
@@ -96,7 +96,15 @@
             return
         await self._forward(exchange, admitted, body, deadline)
 
+    def _may_begin(self) -> bool:
+        return self._core.configured and self._knows_keys()
+
     def _admit(self, exchange: ServerExchange) -> Admitted | Refusal:
+        """Return the request's route and tenant, or why it is refused.
+
+        The lease on the keys is looked at after the key: what was taken away before the lease began is in
+        force here. A key that isn't known may be a new one where the lease is over.
+        """
         if not self._core.configured:
             return attempts.NO_CONFIGURATION
         head = exchange.head
@@ -105,11 +113,17 @@
         key = head.header(self._headers.names.api_key)
         key_text = key.decode("latin-1") if key is not None else None
         try:
-            return self._core.table.admit(host.decode("latin-1"), path.decode("latin-1"), key_text)
+            admitted = self._core.table.admit(host.decode("latin-1"), path.decode("latin-1"), key_text)
         except NoSuchRoute:
             return attempts.NO_ROUTE
         except KeyRefused:
-            return attempts.NO_KEY
+            return attempts.NO_KEY if self._knows_keys() else attempts.KEYS_NOT_CURRENT
+        if admitted.by_key and not self._knows_keys():
+            return attempts.KEYS_NOT_CURRENT
+        return admitted
+
+    def _knows_keys(self) -> bool:
+        return self._core.knows_keys(asyncio.get_running_loop().time())
 
     def _take_quota(self, admitted: Admitted, usage: bytes | None, now: float) -> float | None:
         tenant = admitted.tenant
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -53,6 +53,8 @@
 LEAVE_MESSAGES_S = 0.1
 STOP_MARGIN_S = 1.5
 """Part of the grace that is left for closing."""
+KEYS_NOT_CURRENT = "out of contact: a key may have been taken away"
+"""A node that would refuse nearly all gets no callers while others can serve them."""
 CONTROL_BODY_BYTES = 16 << 20
 CONTROL_LIMITS = ServerLimits(max_body_bytes=CONTROL_BODY_BYTES, idle_timeout_s=30.0)
 
@@ -109,6 +111,9 @@
         """Return whether callers should come here."""
         if self._stopping:
             return ReadyBody(False, STOPPING)
+        now = asyncio.get_running_loop().time()
+        if self.agent.gateway_ready and not self.agent.gateway.knows_keys(now):
+            return ReadyBody(False, KEYS_NOT_CURRENT)
         return ReadyBody(self.agent.gateway_ready, self.agent.gateway_reason)
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/src/springmux/node/gateway/settings.py
+++ b/src/springmux/node/gateway/settings.py
@@ -103,6 +103,7 @@
             seeds=self.peer_seeds,
             losses_tolerated=self.losses_tolerated,
             first_start=self.first_start,
+            revocation_s=self.revocation_ms / 1000.0 if self.strict_revocation else None,
         )
 
 
--- /dev/null
+++ b/tests/unit/control/freshness/__init__.py
@@ -0,0 +1,1 @@
+"""The lease on the control state."""
