Operators: where a fleet loses, out of its nodes' logs; reads of the configuration with a proof

springmux gateway losses sums request_ended lines (log_level debug) by route, size, second, node, tenant, engine, reason and attempts. Off unless the log level asks for it. GET of the gateway's configuration shows a state only with a proof of at most a second that it is the newest: a node cut off from the controllers but not from other nodes could have shown an older one (rule: no machine, in touch or not, shows an older version). Without a proof within 0.7 s: 503. Tests: tests/unit/lab/test_request_losses.py, tests/unit/control/freshness.

--- a/src/springmux/agent/agent.py
+++ b/src/springmux/agent/agent.py
@@ -39,6 +39,7 @@
 from springmux.agent.reporting import build_status
 from springmux.agent.status import NodeStatusReport
 from springmux.control.delivery.events import PeerRevisionHeard, ReplicaRestored
+from springmux.control.freshness.events import ProofWanted
 from springmux.control.order_events import SubmitOrder
 from springmux.control.state import ControlState
 from springmux.control.view import ControlView
@@ -143,6 +144,13 @@
         """Why the node takes no requests to the gateway; empty while it does."""
         return self._gateway_readiness.reason
 
+    def state_proof_age_s(self, now: float) -> float:
+        """Return how long ago nothing newer than the state in force here had been acknowledged.
+
+        Give :class:`springmux.control.freshness.events.ProofWanted` to have a new proof sought.
+        """
+        return self._parts.freshness.proof_age_s(now)
+
     @property
     def place(self) -> tuple[Term, NodeId | None, Revision]:
         """Newest term, its leader and the state revision, for the envelope of every message."""
@@ -205,6 +213,7 @@
             PeerReachable: to_membership,
             PeerUnreachable: to_membership,
             SeedsChanged: to_membership,
+            ProofWanted: self._to(self._parts.freshness),
             CommandsPrepared: self._on_prepared,
             StopBegun: self._on_stop,
             LeadershipTransferRequested: self._on_transfer,
--- a/src/springmux/agent/parts.py
+++ b/src/springmux/agent/parts.py
@@ -9,7 +9,7 @@
 from springmux.agent.events import AgentSettings
 from springmux.control.delivery.part import DeliveryPart
 from springmux.control.freshness.part import FreshnessPart
-from springmux.control.freshness.settings import lease_for
+from springmux.control.freshness.settings import FreshnessSettings, lease_for
 from springmux.control.order_desk import OrderDesk
 from springmux.control.state import ControlState
 from springmux.coordination.claims.journal import RecoveredClaims
@@ -145,7 +145,7 @@
     freshness = FreshnessPart(
         own,
         generator(),
-        lease_for(revocation_s) if revocation_s is not None else None,
+        lease_for(revocation_s) if revocation_s is not None else FreshnessSettings(),
         lambda: state.view().revision,
         lambda: (delivery.replica_index, delivery.revision),
     )
--- a/src/springmux/cli/gateway.py
+++ b/src/springmux/cli/gateway.py
@@ -11,6 +11,7 @@
 
 from springmux.cli.client import AdminClient, AdminReply
 from springmux.cli.exit_codes import EPILOG, ExitCode
+from springmux.cli.gateway_losses import losses
 from springmux.cli.gateway_status_page import print_gateway_status
 from springmux.cli.output import (
     JsonOption,
@@ -27,6 +28,8 @@
 
 application = typer.Typer(no_args_is_help=True, help="A fleet of gateway nodes.", epilog=EPILOG)
 
+application.command()(losses)
+
 CONTROL_SOURCES = "--control or SPRINGMUX_CONTROL"
 STATUS_PATH = "/v1/gateway/status"
 CONFIGURATION_PATH = "/v1/gateway/configuration"
--- /dev/null
+++ b/src/springmux/cli/gateway_losses.py
@@ -0,0 +1,71 @@
+"""``springmux gateway losses``: what a fleet lost, out of its nodes' logs."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from springmux.cli.exit_codes import ExitCode
+from springmux.cli.output import JsonOption, fail, print_json
+from springmux.lab.request_losses import LATE_WORTH, Dimension, LossRow, losses_by, read_requests
+
+DEFAULT_ROWS = 12
+_HEADINGS = ("requests", "late", "refused", "failed", "left", "lost")
+_GROUP_WIDTH = 44
+
+
+def losses(
+    files: Annotated[
+        list[Path], typer.Argument(help="Logs of nodes with log_level debug; - for standard input.")
+    ],
+    by: Annotated[
+        list[Dimension] | None,
+        typer.Option("--by", help="Property to group by; repeat it for several tables."),
+    ] = None,
+    late_worth: Annotated[
+        float, typer.Option("--late-worth", min=0.0, max=1.0, help="What a late answer earns of its worth.")
+    ] = LATE_WORTH,
+    rows: Annotated[int, typer.Option("--rows", min=1, help="Most rows of a table.")] = DEFAULT_ROWS,
+    json_output: JsonOption = False,
+) -> None:
+    """Show where requests were late, refused or failed: by route, size, second, node, tenant, engine, reason.
+
+    Example: springmux gateway losses node-1.log node-2.log --by size --by reason
+    """
+    requests = list(read_requests(_lines(files, json_output)))
+    if not requests:
+        details = ["set log_level to debug: nodes then write a line for each request"]
+        fail("no request_ended line was found", ExitCode.FAILED, json_output, details)
+    tables = {
+        dimension: losses_by(requests, dimension, late_worth)[:rows] for dimension in by or list(Dimension)
+    }
+    if json_output:
+        print_json({dimension.value: msgspec.to_builtins(table) for dimension, table in tables.items()})
+        return
+    for dimension, table in tables.items():
+        _print_table(dimension, table)
+
+
+def _lines(files: list[Path], json_output: bool) -> Iterator[str]:
+    for file in files:
+        if str(file) == "-":
+            yield from sys.stdin
+            continue
+        try:
+            with file.open(encoding="utf-8", errors="replace") as opened:
+                yield from opened
+        except OSError as error:
+            fail(f"can't read {file}: {error.strerror}", ExitCode.FAILED, json_output)
+
+
+def _print_table(dimension: Dimension, table: list[LossRow]) -> None:
+    typer.echo(f"by {dimension.value:<{_GROUP_WIDTH - 3}}" + "".join(f"{name:>10}" for name in _HEADINGS))
+    for row in table:
+        shares = "".join(f"{100 * share:>9.1f}%" for share in (row.late, row.refused, row.failed, row.left))
+        typer.echo(f"{row.group[:_GROUP_WIDTH]:<{_GROUP_WIDTH}}{row.requests:>10}{shares}{row.lost:>10.1f}")
+    typer.echo("")
--- a/src/springmux/control/freshness/events.py
+++ b/src/springmux/control/freshness/events.py
@@ -6,6 +6,10 @@
 from springmux.coordination.kernel import Event
 
 
+class ProofWanted(Event, frozen=True):
+    """Somebody waits for a new proof: ask the leader at once."""
+
+
 class QuorumConfirmed(Event, frozen=True):
     """A quorum confirmed that this node led at ``asked_at``, when its log was committed up to ``index``."""
 
--- a/src/springmux/control/freshness/part.py
+++ b/src/springmux/control/freshness/part.py
@@ -18,7 +18,7 @@
 
 from springmux.control.delivery.events import MembershipChanged
 from springmux.control.events import LeadershipKnown
-from springmux.control.freshness.events import QuorumConfirmed
+from springmux.control.freshness.events import ProofWanted, QuorumConfirmed
 from springmux.control.freshness.messages import AskFreshness, FreshnessTold
 from springmux.control.freshness.settings import FreshnessSettings
 from springmux.coordination.identifiers import LogIndex, NodeId, Revision
@@ -50,7 +50,6 @@
 class FreshnessPart:
     """One node's lease on its control state being the newest.
 
-    :param settings: ``None`` where nothing relies on it; then nothing is asked.
     :param in_force: returns the revision in force at this node.
     :param replica_state: returns up to which log index the own replica's commands were taken over, and the
         revision that they lead to, which may come into force a little later.
@@ -60,7 +59,7 @@
         self,
         own: NodeId,
         rng: random.Random,
-        settings: FreshnessSettings | None,
+        settings: FreshnessSettings,
         in_force: Callable[[], Revision],
         replica_state: Callable[[], tuple[LogIndex, Revision]],
     ) -> None:
@@ -73,7 +72,7 @@
         self._questions: deque[_Question] = deque(maxlen=KEPT_QUESTIONS)
         self._proofs: deque[_Proof] = deque(maxlen=KEPT_PROOFS)
         self._proven_at = -NEVER
-        self._ask_at = 0.0 if settings is not None else NEVER
+        self._ask_at = NEVER if settings.lease_s is None else 0.0
         self._failed = 0
         self._members = MembershipView(own, {})
         self._leader: NodeId | None = None
@@ -81,8 +80,12 @@
 
     def current(self, now: float) -> bool:
         """Say whether the state in force may be relied on; always so where no lease is asked for."""
-        settings = self._settings
-        return settings is None or now < self._newest_proof() + settings.lease_s
+        lease_s = self._settings.lease_s
+        return lease_s is None or now < self._newest_proof() + lease_s
+
+    def proof_age_s(self, now: float) -> float:
+        """Return how long ago nothing newer than the state in force had been acknowledged."""
+        return now - self._newest_proof()
 
     def next_deadline(self) -> float:
         """Return when the next question is due."""
@@ -90,10 +93,10 @@
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event; see :class:`springmux.coordination.kernel.Part`."""
-        if self._settings is None:
-            return []
         if isinstance(event, Tick):
-            return self._ask(self._settings, now) if now >= self._ask_at else []
+            return self._ask_by_rhythm(now) if now >= self._ask_at else []
+        if isinstance(event, ProofWanted):
+            return self._ask(self._leader, now) if not self._leading else []
         if isinstance(event, QuorumConfirmed):
             self._take_quorum(event)
         elif isinstance(event, MembershipChanged):
@@ -101,25 +104,25 @@
         elif isinstance(event, LeadershipKnown):
             self._leader, self._leading = event.leader, event.leading
         elif isinstance(event, MessageReceived):
-            return self._receive(event, self._settings, now)
+            return self._receive(event, now)
         return []
 
-    def _receive(self, event: MessageReceived, settings: FreshnessSettings, now: float) -> list[Effect]:
+    def _receive(self, event: MessageReceived, now: float) -> list[Effect]:
         message = event.message
         if isinstance(message, AskFreshness):
-            return [Send(event.sender, self._answer(message.request, settings, now))]
+            return [Send(event.sender, self._answer(message.request, now))]
         if isinstance(message, FreshnessTold):
-            self._take_answer(message, settings, now)
+            self._take_answer(message, now)
         return []
 
-    def _answer(self, request: int, settings: FreshnessSettings, now: float) -> FreshnessTold:
-        age_s = now - self._newest_proof()
-        if age_s >= settings.lease_s:
+    def _answer(self, request: int, now: float) -> FreshnessTold:
+        age_s = self.proof_age_s(now)
+        if age_s >= self._settings.told_s:
             return FreshnessTold(request, UNPROVEN_MS, self._in_force())
         # Rounded up: a proof may seem older than it is, never younger.
         return FreshnessTold(request, int(age_s * 1000.0) + 1, self._in_force())
 
-    def _take_answer(self, told: FreshnessTold, settings: FreshnessSettings, now: float) -> None:
+    def _take_answer(self, told: FreshnessTold, now: float) -> None:
         question = next((asked for asked in self._questions if asked.request == told.request), None)
         if question is None or told.age_ms < 0:
             return
@@ -128,7 +131,8 @@
             return
         self._proofs.append(_Proof(told.revision, proven_at))
         self._failed = 0
-        self._ask_at = now + settings.ask_period_s
+        if self._settings.lease_s is not None:
+            self._ask_at = now + self._settings.ask_period_s
 
     def _take_quorum(self, event: QuorumConfirmed) -> None:
         """Take the own quorum's proof, unless entries before it aren't taken over yet: the next is near."""
@@ -136,16 +140,19 @@
         if index >= event.index:
             self._proofs.append(_Proof(revision, event.asked_at))
 
-    def _ask(self, settings: FreshnessSettings, now: float) -> list[Effect]:
+    def _ask_by_rhythm(self, now: float) -> list[Effect]:
         """Ask one node; another one if the last didn't answer with a newer proof."""
-        self._ask_at = now + settings.answer_s
         if self._leading:
-            self._ask_at = now + settings.ask_period_s
+            self._ask_at = now + self._settings.ask_period_s
             return []
-        target = self._target()
+        self._ask_at = now + self._settings.answer_s
+        asked = self._ask(self._target(), now)
+        self._failed += len(asked)
+        return asked
+
+    def _ask(self, target: NodeId | None, now: float) -> list[Effect]:
         if target is None:
             return []
-        self._failed += 1
         self._request += 1
         self._questions.append(_Question(self._request, now))
         return [Send(target, AskFreshness(self._request))]
--- a/src/springmux/control/freshness/settings.py
+++ b/src/springmux/control/freshness/settings.py
@@ -13,13 +13,15 @@
 class FreshnessSettings(msgspec.Struct, frozen=True):
     """Defaults aim at proofs of at most 1.5 s at every node, at some messages a second and node.
 
-    ``lease_s``: how long a proof holds. ``ask_period_s``: from an answer to the next question.
-    ``answer_s``: wait for an answer before another node is asked.
+    ``lease_s``: how long a proof holds; ``None``: nothing relies on one, and nodes ask only when a proof is
+    wanted. ``ask_period_s``: from an answer to the next question. ``answer_s``: wait for an answer before
+    another node is asked. ``told_s``: older proofs are of no use to anybody.
     """
 
-    lease_s: float
+    lease_s: float | None = None
     ask_period_s: float = 0.5
     answer_s: float = 0.2
+    told_s: float = 5.0
 
 
 def lease_for(allowed_s: float) -> FreshnessSettings:
--- /dev/null
+++ b/src/springmux/lab/request_losses.py
@@ -0,0 +1,155 @@
+"""Where a fleet loses what its callers asked for: a table out of the nodes' ``request_ended`` lines.
+
+Each request earns 1 if it is served in time, less if it is late, nothing if it isn't served. What is lost is
+summed over one property of the requests at a time, so that an operator sees which route, which size, which
+second, which node, tenant, engine or reason it is lost at.
+"""
+
+from __future__ import annotations
+
+import enum
+import json
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from typing import Any
+
+import msgspec
+
+from springmux.gateway.request_trace import RequestOutcome
+
+EVENT = "request_ended"
+LATE_WORTH = 0.3
+"""What a late answer earns of its worth, unless the caller of this says otherwise."""
+SIZE_CLASSES = ((0.9, "largest tenth"), (0.7, "fifth beneath"), (0.0, "the rest"))
+"""Ranks from which a prompt belongs to a class, among those of its route."""
+NO_VALUE = "-"
+
+
+class Dimension(enum.StrEnum):
+    """A property by which requests are grouped."""
+
+    ROUTE = "route"
+    SIZE = "size"
+    SECOND = "second"
+    NODE = "node"
+    TENANT = "tenant"
+    ENGINE = "engine"
+    REASON = "reason"
+    ATTEMPTS = "attempts"
+
+
+class EndedRequest(msgspec.Struct, frozen=True):
+    """One line of the log. Times in ms, ``received_at`` in seconds of the node's clock."""
+
+    node: str
+    route: str
+    tenant: str
+    prompt_tokens: int
+    target_ms: float
+    gap_target_ms: float
+    attempts: int
+    engine: str
+    outcome: RequestOutcome
+    reason: str
+    received_at: float
+    first_ms: float | None
+    gap_ms: float
+    total_ms: float
+    request_id: str = ""
+
+    @property
+    def late(self) -> bool:
+        """Whether it was served, but its first piece or a further one came too late."""
+        if self.outcome is not RequestOutcome.SERVED:
+            return False
+        answered_ms = self.total_ms if self.first_ms is None else self.first_ms
+        paused = self.gap_target_ms > 0 and self.gap_ms > self.gap_target_ms
+        return paused or (self.target_ms > 0 and answered_ms > self.target_ms)
+
+
+class LossRow(msgspec.Struct, frozen=True):
+    """Requests of one group. Shares are of its requests; ``lost`` is the sum of what they didn't earn."""
+
+    group: str
+    requests: int
+    late: float
+    refused: float
+    failed: float
+    left: float
+    lost: float
+
+
+def read_requests(lines: Iterable[str]) -> Iterator[EndedRequest]:
+    """Yield the requests in log lines; anything before a line's JSON, and other events, are passed over."""
+    for line in lines:
+        start = line.find("{")
+        if start < 0 or EVENT not in line:
+            continue
+        try:
+            fields = json.loads(line[start:])
+            if fields.get("event") == EVENT:
+                yield msgspec.convert(fields, EndedRequest)
+        except (ValueError, msgspec.ValidationError):
+            continue
+
+
+def losses_by(
+    requests: Sequence[EndedRequest], dimension: Dimension, late_worth: float = LATE_WORTH
+) -> list[LossRow]:
+    """Return a row for each value of ``dimension``, the greatest loss first."""
+    names = _size_names(requests) if dimension is Dimension.SIZE else {}
+    groups: dict[str, list[EndedRequest]] = {}
+    for request in requests:
+        groups.setdefault(_value(request, dimension, names), []).append(request)
+    rows = [_row(group, members, late_worth) for group, members in groups.items()]
+    return sorted(rows, key=lambda row: (-row.lost, row.group))
+
+
+def _row(group: str, members: Sequence[EndedRequest], late_worth: float) -> LossRow:
+    count = len(members)
+    late = sum(member.late for member in members)
+
+    def share(outcome: RequestOutcome) -> float:
+        return sum(member.outcome is outcome for member in members) / count
+
+    unserved = sum(member.outcome is not RequestOutcome.SERVED for member in members)
+    return LossRow(
+        group=group,
+        requests=count,
+        late=late / count,
+        refused=share(RequestOutcome.REFUSED),
+        failed=share(RequestOutcome.FAILED),
+        left=share(RequestOutcome.LEFT),
+        lost=unserved + late * (1.0 - late_worth),
+    )
+
+
+def _value(request: EndedRequest, dimension: Dimension, sizes: Mapping[int, str]) -> str:
+    value: Any
+    if dimension is Dimension.SIZE:
+        value = f"{request.route}, {sizes[id(request)]}"
+    elif dimension is Dimension.SECOND:
+        value = f"{int(request.received_at):8d}"
+    elif dimension is Dimension.REASON:
+        value = request.reason or _reason(request)
+    else:
+        value = getattr(request, dimension.value)
+    return str(value) or NO_VALUE
+
+
+def _reason(request: EndedRequest) -> str:
+    if request.outcome is not RequestOutcome.SERVED:
+        return request.outcome.value
+    return "late" if request.late else "in time"
+
+
+def _size_names(requests: Sequence[EndedRequest]) -> dict[int, str]:
+    """Return each request's class of size among the prompts of its route, by the object's identity."""
+    by_route: dict[str, list[EndedRequest]] = {}
+    for request in requests:
+        by_route.setdefault(request.route, []).append(request)
+    names = {}
+    for members in by_route.values():
+        ordered = sorted(members, key=lambda member: member.prompt_tokens)
+        for rank, member in enumerate(ordered):
+            names[id(member)] = next(name for least, name in SIZE_CLASSES if rank >= least * len(ordered))
+    return names
--- a/src/springmux/node/gateway/attempt.py
+++ b/src/springmux/node/gateway/attempt.py
@@ -120,6 +120,7 @@
         self._selection.sent(self._record)
         request.in_doubt = True
         answer = await upstream.head()
+        request.trace.status = answer.status
         if self._services.headers.declined(answer):
             return await self._declined(upstream, answer)
         self._check_head(answer)
@@ -223,6 +224,7 @@
 
     def _note_event(self) -> None:
         now = self._loop.time()
+        self._request.trace.event(now)
         if self._evidence.event(now):
             self._placement.first_event(self._ticket, now)
         else:
--- a/src/springmux/node/gateway/configuration_endpoints.py
+++ b/src/springmux/node/gateway/configuration_endpoints.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from springmux.agent.agent import NodeAgent
 from springmux.control.commands import ApplyGateway, gateway_order_id
+from springmux.control.freshness.events import ProofWanted
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.replies import Reply, come_back, json_reply, order_reply, submit
 from springmux.node.http.types import ServerExchange
@@ -11,6 +14,11 @@
 
 BASE_VERSION_HEADER = b"if-match"
 PRECONDITION_FAILED = 412
+READ_PROOF_S = 1.0
+"""A state that was the newest this recently may be shown: a change is in force everywhere within 2 s."""
+PROOF_WAIT_S = 0.7
+"""Operators' clients give an answer a second."""
+LOOK_S = 0.02
 
 
 class ConfigurationEndpoints:
@@ -24,18 +32,32 @@
     async def handle(self, method: str, exchange: ServerExchange) -> Reply:
         """Answer one request."""
         if method == "GET":
-            return self._show()
+            return await self._show()
         if method in ("PUT", "PATCH"):
             return await self._change(exchange, partial=method == "PATCH")
         return json_reply(405, ErrorCode.METHOD_NOT_ALLOWED, "use GET, PUT or PATCH")
 
-    def _show(self) -> Reply:
+    async def _show(self) -> Reply:
+        """Answer with the newest configuration; a node without a proof of that says 503."""
+        proven = self._agent.ready and await self._prove_newest()
         document = self._agent.control.gateway_document()
-        if document is None or not self._agent.ready:
-            reason = self._agent.not_ready_reason or "no configuration yet"
+        if document is None or not proven:
+            reason = self._agent.not_ready_reason or "no proof from the leader, or no configuration yet"
             return come_back(ErrorCode.NOT_READY, f"the newest configuration is not known here: {reason}")
         return Reply(200, document)
 
+    async def _prove_newest(self) -> bool:
+        """Have the leader asked unless there is a recent proof; say whether there is one in time."""
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + PROOF_WAIT_S
+        if self._agent.state_proof_age_s(loop.time()) > READ_PROOF_S:
+            self._driver.submit(ProofWanted())
+        while self._agent.state_proof_age_s(loop.time()) > READ_PROOF_S:
+            if loop.time() >= give_up_at:
+                return False
+            await asyncio.sleep(LOOK_S)
+        return True
+
     async def _change(self, exchange: ServerExchange, partial: bool) -> Reply:
         document = await exchange.body()
         base = (exchange.head.header(BASE_VERSION_HEADER) or b"0").strip().strip(b'"')
--- a/src/springmux/node/gateway/forwarder.py
+++ b/src/springmux/node/gateway/forwarder.py
@@ -13,10 +13,12 @@
 from springmux.gateway.core import GatewayCore
 from springmux.gateway.prompt import parse_facts, quota_tokens
 from springmux.gateway.refusals import RefusalReason
+from springmux.gateway.request_trace import RequestOutcome, RequestTrace
 from springmux.gateway.routing import Admitted, KeyRefused, NoSuchRoute
 from springmux.node.gateway.forwarding import ForwardedRequest
 from springmux.node.gateway.headers import HeaderRules
 from springmux.node.gateway.refusal_log import RefusalLog
+from springmux.node.gateway.request_log import RequestLog
 from springmux.node.gateway.start_hold import StartHold, no_hold
 from springmux.node.http.types import BodyTooLarge, ClientGone, EngineClient, ServerExchange
 from springmux.node.service_rates import ServiceRates
@@ -41,6 +43,7 @@
     rates: ServiceRates
     refusals: RefusalLog
     start_hold: StartHold = field(default_factory=no_hold)
+    request_log: RequestLog | None = None
 
 
 class Forwarder:
@@ -64,37 +67,42 @@
                 task.cancel()
 
         exchange.on_gone(leave)
+        trace = RequestTrace(exchange.received_at)
         try:
-            await self._handle(exchange)
+            await self._handle(exchange, trace)
         except ClientGone:
             return
         except asyncio.CancelledError:
             if not gone:
                 raise
+        finally:
+            if self._services.request_log is not None:
+                self._services.request_log.write(trace)
 
-    async def _handle(self, exchange: ServerExchange) -> None:
+    async def _handle(self, exchange: ServerExchange, trace: RequestTrace) -> None:
         await self._services.start_hold.until_true(self._may_begin)
         admitted = self._admit(exchange)
         if isinstance(admitted, Refusal):
-            self._refuse(exchange, admitted)
+            self._refuse(exchange, admitted, trace)
             return
+        self._note_admitted(trace, admitted, exchange)
         deadline = exchange.received_at + self._allowed_s(exchange, admitted)
         try:
             async with asyncio.timeout_at(deadline):
                 body = await exchange.body()
         except BodyTooLarge:
-            self._refuse(exchange, attempts.BODY_TOO_LARGE, admitted)
+            self._refuse(exchange, attempts.BODY_TOO_LARGE, trace)
             return
         except TimeoutError:
-            self._refuse(exchange, attempts.TOO_LATE_UNSENT, admitted)
+            self._refuse(exchange, attempts.TOO_LATE_UNSENT, trace)
             return
         now = asyncio.get_running_loop().time()
         usage = exchange.head.header(self._headers.names.token_usage)
         wait_s = self._take_quota(admitted, usage, now)
         if wait_s is not None:
-            self._refuse(exchange, attempts.over_quota(wait_s), admitted)
+            self._refuse(exchange, attempts.over_quota(wait_s), trace)
             return
-        await self._forward(exchange, admitted, body, deadline)
+        await self._forward(exchange, admitted, body, deadline, trace)
 
     def _may_begin(self) -> bool:
         return self._core.configured and self._knows_keys()
@@ -132,27 +140,29 @@
         return self._core.usage.admit(tenant.name, quota_tokens(tenant, usage), now)
 
     async def _forward(
-        self, exchange: ServerExchange, admitted: Admitted, body: bytes, deadline: float
+        self, exchange: ServerExchange, admitted: Admitted, body: bytes, deadline: float, trace: RequestTrace
     ) -> None:
         names = self._headers.names
         head = exchange.head
         facts = parse_facts(head.header(names.prompt_prefix), head.header(names.token_usage))
+        trace.prompt_tokens = facts.prompt_tokens
         if asyncio.get_running_loop().time() >= deadline:
-            self._refuse(exchange, attempts.TOO_LATE_UNSENT, admitted)
+            self._refuse(exchange, attempts.TOO_LATE_UNSENT, trace)
             return
-        request = ForwardedRequest(self._services, exchange, admitted, facts, body, deadline)
+        request = ForwardedRequest(self._services, exchange, admitted, facts, body, deadline, trace)
         try:
             async with asyncio.timeout_at(deadline + DEADLINE_MARGIN_S):
                 refusal = await request.run()
         except TimeoutError:
             refusal = request.too_late()
+        trace.answered()
         if refusal is not None:
             tenant = admitted.tenant
             if refusal.retry_after_s is not None and tenant is not None and tenant.rate_per_s > 0:
                 usage = head.header(names.token_usage)
                 now = asyncio.get_running_loop().time()
                 self._core.usage.give_back(tenant.name, quota_tokens(tenant, usage), now)
-            self._refuse(exchange, refusal, admitted)
+            self._refuse(exchange, refusal, trace)
 
     def _allowed_s(self, exchange: ServerExchange, admitted: Admitted) -> float:
         allowed_ms = admitted.route.timeout_ms
@@ -161,10 +171,21 @@
             allowed_ms = min(allowed_ms, float(stated))
         return allowed_ms / 1000.0
 
-    def _refuse(self, exchange: ServerExchange, refusal: Refusal, admitted: Admitted | None = None) -> None:
+    def _note_admitted(self, trace: RequestTrace, admitted: Admitted, exchange: ServerExchange) -> None:
+        route = admitted.route
+        trace.route = route.name
+        trace.target_ms = route.target_ms
+        trace.gap_target_ms = route.gap_target_ms
+        if admitted.tenant is not None:
+            trace.tenant = admitted.tenant.name
+        trace.request_id = (exchange.head.header(self._headers.names.request_id) or b"").decode("latin-1")
+
+    def _refuse(self, exchange: ServerExchange, refusal: Refusal, trace: RequestTrace) -> None:
         reason = RefusalReason.ANSWER_CUT if exchange.begun else refusal.reason
-        route = admitted.route.name if admitted is not None else ""
-        self._services.refusals.note(reason, exchange.head, route)
+        unrun = refusal.retry_after_s is not None or refusal.status < 500
+        refused = unrun and not exchange.begun
+        trace.end(RequestOutcome.REFUSED if refused else RequestOutcome.FAILED, reason.value)
+        self._services.refusals.note(reason, exchange.head, trace.route)
         if exchange.begun:
             exchange.abort()
             return
--- a/src/springmux/node/gateway/forwarding.py
+++ b/src/springmux/node/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from springmux.gateway.event_stream import EventStream
 from springmux.gateway.placement import PromptFacts
 from springmux.gateway.prompt import engine_priority
+from springmux.gateway.request_trace import RequestTrace
 from springmux.gateway.routing import Admitted
 from springmux.gateway.versions import VersionSelection
 from springmux.node.gateway.attempt import Attempt, AttemptResult
@@ -37,6 +38,7 @@
         facts: PromptFacts,
         body: bytes,
         deadline: float,
+        trace: RequestTrace,
     ) -> None:
         self.services = services
         self.exchange = exchange
@@ -45,6 +47,7 @@
         self.facts = facts
         self.body = body
         self.deadline = deadline
+        self.trace = trace
         self.priority = engine_priority(admitted.route, admitted.tenant)
         self.rules = AttemptRules(admitted.route, services.core.retry_budget, deadline)
         self.events = self._event_stream()
@@ -96,6 +99,7 @@
 
     async def _attempt(self, selection: VersionSelection, record: EngineRecord) -> AttemptResult:
         self.services.core.counters.dispatches += 1
+        self.trace.attempt(record.engine)
         result = await Attempt(self, record, selection).run()
         if result.end is AttemptEnd.UNSENT:
             selection.not_sent(record)
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -22,6 +22,7 @@
 from springmux.node.gateway.forwarder import Forwarder, ForwarderServices
 from springmux.node.gateway.headers import HeaderRules
 from springmux.node.gateway.refusal_log import RefusalLog, counter_values
+from springmux.node.gateway.request_log import RequestLog
 from springmux.node.gateway.settings import GatewaySettings, load_gateway_settings
 from springmux.node.gateway.start_hold import HOLD_S, StartHold
 from springmux.node.http.client import PooledEngineClient
@@ -101,6 +102,7 @@
             rates=self._rates,
             refusals=self._refusals,
             start_hold=StartHold(asyncio.get_running_loop().time() + HOLD_S),
+            request_log=RequestLog(log) if log.writes(NoteLevel.DEBUG) else None,
         )
         control = ControlInterface(settings, self.agent, self.driver, self.metrics, self, self._rates)
         self._front = HttpServer(Forwarder(services).handle, self._front_limits, self._refusals.note_server)
--- /dev/null
+++ b/src/springmux/node/gateway/request_log.py
@@ -0,0 +1,40 @@
+"""Writes a line for each forwarded request, where the log's level asks for it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from springmux.coordination.kernel import NoteLevel
+from springmux.gateway.request_trace import RequestTrace
+from springmux.node.logs import EventLog
+
+EVENT = "request_ended"
+
+
+class RequestLog:
+    """Debug lines of requests. They cost about a tenth of what a short request does, so they are off."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+
+    def write(self, trace: RequestTrace) -> None:
+        """Write one request that is over. Times in ms; ``first_ms``: until the first piece of the answer."""
+        first_at = trace.first_at
+        self._log.write(
+            EVENT,
+            NoteLevel.DEBUG,
+            request_id=trace.request_id,
+            route=trace.route,
+            tenant=trace.tenant,
+            prompt_tokens=trace.prompt_tokens,
+            target_ms=trace.target_ms,
+            gap_target_ms=trace.gap_target_ms,
+            attempts=trace.attempts,
+            engine=trace.engine,
+            outcome=trace.outcome.value,
+            reason=trace.reason,
+            received_at=round(trace.received_at, 3),
+            first_ms=None if first_at is None else round(1000.0 * (first_at - trace.received_at), 1),
+            gap_ms=round(1000.0 * trace.widest_gap_s, 1),
+            total_ms=round(1000.0 * (asyncio.get_running_loop().time() - trace.received_at), 1),
+        )
--- a/src/springmux/node/logs.py
+++ b/src/springmux/node/logs.py
@@ -51,6 +51,10 @@
         self._threshold = _SEVERITIES[NoteLevel(level)]
         self._lock = threading.Lock()
 
+    def writes(self, level: NoteLevel) -> bool:
+        """Say whether lines of this level are written."""
+        return _SEVERITIES[level] >= self._threshold
+
     def write(self, name: str, level: NoteLevel = NoteLevel.INFO, **fields: Any) -> None:
         """Write one line named ``name``."""
         if _SEVERITIES[level] >= self._threshold:
--- a/tests/unit/control/freshness/test_freshness.py
+++ b/tests/unit/control/freshness/test_freshness.py
@@ -8,11 +8,13 @@
 import pytest
 
 from springmux.control.delivery.events import MembershipChanged
+from springmux.control.events import LeadershipKnown
 from springmux.control.freshness import part as part_module
+from springmux.control.freshness.events import ProofWanted
 from springmux.control.freshness.messages import AskFreshness, FreshnessTold
 from springmux.control.freshness.part import FreshnessPart
 from springmux.control.freshness.settings import LEAST_LEASE_S, FreshnessSettings, lease_for
-from springmux.coordination.identifiers import LogIndex, NodeId, Revision
+from springmux.coordination.identifiers import LogIndex, NodeId, Revision, Term
 from springmux.coordination.kernel import MessageReceived, Send, Tick
 from tests.unit.control.freshness.world import REVOCATION_S, FleetNode, FreshnessWorld
 
@@ -39,9 +41,13 @@
 
 
 def test_without_the_promise_nothing_is_asked_and_all_is_current() -> None:
-    """Given no settings, the part sends nothing and every state is good."""
+    """Given no lease, the part sends nothing by itself and every state is good."""
     part = FreshnessPart(
-        NodeId("n"), random.Random(1), None, lambda: Revision(0), lambda: (LogIndex(0), Revision(0))
+        NodeId("n"),
+        random.Random(1),
+        FreshnessSettings(),
+        lambda: Revision(0),
+        lambda: (LogIndex(0), Revision(0)),
     )
     assert part.handle(Tick(), 5.0) == []
     assert part.next_deadline() == float("inf")
@@ -124,6 +130,26 @@
     assert lease_s == LEAST_LEASE_S or lease_s < allowed_s
 
 
+def test_a_proof_that_is_wanted_is_asked_of_the_leader_at_once() -> None:
+    """Given no lease and somebody who waits, the leader is asked, and its answer is the proof."""
+    node = FleetNode("n0", False, 1, 0.0)
+    part = FreshnessPart(
+        node.name,
+        random.Random(1),
+        FreshnessSettings(),
+        lambda: Revision(3),
+        lambda: (LogIndex(0), Revision(0)),
+    )
+    assert part.handle(ProofWanted(), 10.0) == []  # nobody is known to lead
+    part.handle(LeadershipKnown(Term(1), NodeId("c0"), False), 10.0)
+    (asked,) = part.handle(ProofWanted(), 10.0)
+    assert isinstance(asked, Send) and isinstance(asked.message, AskFreshness) and asked.to == "c0"
+    told = FreshnessTold(asked.message.request, 300, Revision(3))
+    part.handle(MessageReceived(asked.to, told), 10.1)
+    assert part.proof_age_s(10.1) == pytest.approx(0.4)
+    assert part.next_deadline() == float("inf")
+
+
 def _members(world: FreshnessWorld, node: FleetNode) -> MembershipChanged:
     return MembershipChanged(world.view_of(node))
 
@@ -166,9 +192,9 @@
 def test_the_check_catches_a_lease_that_is_dated_from_the_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Given a part that trusts an answer's age alone, some bad day shows a stale key."""
 
-    def trusting(self: FreshnessPart, told: FreshnessTold, settings: FreshnessSettings, now: float) -> None:
+    def trusting(self: FreshnessPart, told: FreshnessTold, now: float) -> None:
         self._proofs.append(part_module._Proof(told.revision, now))
-        self._ask_at = now + settings.ask_period_s
+        self._ask_at = now + 0.5
 
     monkeypatch.setattr(FreshnessPart, "_take_answer", trusting)
     assert any(_bad_day(seed).stale for seed in range(10))
--- /dev/null
+++ b/tests/unit/lab/test_request_losses.py
@@ -0,0 +1,129 @@
+"""Where a fleet loses, out of its nodes' logs."""
+
+from __future__ import annotations
+
+import io
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from typer.testing import CliRunner
+
+from springmux.cli.main import application
+from springmux.gateway.request_trace import RequestOutcome, RequestTrace
+from springmux.lab.request_losses import Dimension, losses_by, read_requests
+from springmux.node.gateway.request_log import RequestLog
+from springmux.node.logs import EventLog
+from tests.unit.node_gateway.scripted_engines import play
+
+
+def _line(**more: Any) -> str:
+    fields = {
+        "node": "n1",
+        "event": "request_ended",
+        "route": "text",
+        "tenant": "a",
+        "prompt_tokens": 100,
+        "target_ms": 500.0,
+        "gap_target_ms": 400.0,
+        "attempts": 1,
+        "engine": "e1",
+        "outcome": "served",
+        "reason": "",
+        "received_at": 10.2,
+        "first_ms": 100.0,
+        "gap_ms": 20.0,
+        "total_ms": 300.0,
+    }
+    return json.dumps(fields | more)
+
+
+def test_what_a_node_writes_can_be_read() -> None:
+    """Given a request that was served with a wide gap, its line says all of it."""
+    written = io.StringIO()
+
+    async def story() -> None:
+        trace = RequestTrace(10.0, route="text", tenant="a", target_ms=500.0, gap_target_ms=400.0)
+        trace.attempt("e7")
+        for at in (10.2, 10.3, 10.9):
+            trace.event(at)
+        trace.answered()
+        RequestLog(EventLog("n1", "debug", output=written)).write(trace)
+
+    play(story())
+    (request,) = read_requests(written.getvalue().splitlines())
+    assert (request.node, request.engine, request.attempts) == ("n1", "e7", 1)
+    assert request.first_ms == 200.0 and request.gap_ms == 600.0
+    assert request.outcome is RequestOutcome.SERVED and request.late
+
+
+def test_other_lines_prefixes_and_nonsense_are_passed_over() -> None:
+    """Given lines of other events, a prefix before the JSON, and broken lines, only requests are read."""
+    lines = [
+        "12.3 front-1 " + _line(),
+        json.dumps({"event": "node_started"}),
+        _line()[:-5],
+        "request_ended {",
+    ]
+    assert len(list(read_requests(lines))) == 1
+
+
+@pytest.mark.parametrize(
+    ("more", "late"),
+    [
+        ({}, False),
+        ({"first_ms": 500.1}, True),
+        ({"gap_ms": 400.1}, True),
+        ({"gap_ms": 9000.0, "gap_target_ms": 0.0}, False),
+        ({"first_ms": None, "total_ms": 501.0}, True),
+        ({"outcome": "failed", "first_ms": 900.0}, False),
+    ],
+)
+def test_late_is_a_first_piece_or_a_pause_over_its_target(more: dict[str, Any], late: bool) -> None:
+    (request,) = read_requests([_line(**more)])
+    assert request.late is late
+
+
+def test_a_table_sums_what_was_not_earned() -> None:
+    """Given two routes, the one that loses more comes first, with the shares of its requests."""
+    lines = [_line(route="quick")] * 8 + [
+        _line(route="slow", first_ms=900.0),
+        _line(route="slow", outcome="failed", reason="engine_broke_off"),
+        _line(route="slow", outcome="refused", reason="quota_exceeded"),
+        _line(route="slow", outcome="left"),
+    ]
+    requests = list(read_requests(lines))
+    worst, best = losses_by(requests, Dimension.ROUTE, late_worth=0.5)
+    assert (worst.group, worst.requests, worst.lost) == ("slow", 4, 3.5)
+    assert (worst.late, worst.refused, worst.failed, worst.left) == (0.25, 0.25, 0.25, 0.25)
+    assert (best.group, best.lost) == ("quick", 0.0)
+    reasons = {row.group for row in losses_by(requests, Dimension.REASON)}
+    assert reasons == {"in time", "late", "engine_broke_off", "quota_exceeded", "left"}
+
+
+def test_sizes_are_ranks_among_the_prompts_of_a_route() -> None:
+    """Given a hundred prompts, a tenth and a fifth of them make the two upper classes."""
+    requests = list(read_requests([_line(prompt_tokens=size) for size in range(100)]))
+    counts = {row.group: row.requests for row in losses_by(requests, Dimension.SIZE)}
+    assert counts == {"text, largest tenth": 10, "text, fifth beneath": 20, "text, the rest": 70}
+
+
+def test_the_command_prints_the_tables_asked_for(tmp_path: Path) -> None:
+    """Given a log file, each --by gives a table, as text and as JSON."""
+    log = tmp_path / "n1.log"
+    log.write_text("\n".join([_line(), _line(first_ms=600.0)]), "utf-8")
+    runner = CliRunner()
+    shown = runner.invoke(application, ["gateway", "losses", str(log), "--by", "route", "--by", "reason"])
+    assert shown.exit_code == 0
+    assert "by route" in shown.output and "by reason" in shown.output and "50.0%" in shown.output
+    as_json = runner.invoke(application, ["gateway", "losses", str(log), "--by", "route", "--json"])
+    assert json.loads(as_json.output)["route"][0]["requests"] == 2
+
+
+def test_a_log_without_requests_says_what_to_do(tmp_path: Path) -> None:
+    log = tmp_path / "n1.log"
+    log.write_text("", "utf-8")
+    for file in (log, tmp_path / "absent.log"):
+        shown = CliRunner().invoke(application, ["gateway", "losses", str(file)])
+        assert shown.exit_code == 1 and "Traceback" not in shown.output
