--- a/src/springmux/control/freshness/part.py
+++ b/src/springmux/control/freshness/part.py
@@ -103,6 +103,8 @@
             self._members = event.view
         elif isinstance(event, LeadershipKnown):
             self._leader, self._leading = event.leader, event.leading
+            if not self.current(now):
+                self._ask_at = now
         elif isinstance(event, MessageReceived):
             return self._receive(event, now)
         return []
@@ -146,7 +148,7 @@
             self._ask_at = now + self._settings.ask_period_s
             return []
         self._ask_at = now + self._settings.answer_s
-        asked = self._ask(self._target(), now)
+        asked = self._ask(self._target(now), now)
         self._failed += len(asked)
         return asked
 
@@ -157,10 +159,12 @@
         self._questions.append(_Question(self._request, now))
         return [Send(target, AskFreshness(self._request))]
 
-    def _target(self) -> NodeId | None:
+    def _target(self, now: float) -> NodeId | None:
+        """Return whom to ask: without a proof the leader, each second time; others may have none."""
         record = self._members.nodes.get(self._own)
         is_controller = record is not None and record.replica is not None
-        if is_controller and self._leader is not None and self._failed == 0:
+        in_need = is_controller or not self.current(now)
+        if in_need and self._leader is not None and self._failed % 2 == 0:
             return self._leader
         others = [each.node for each in self._members.controllers() if each.node != self._own]
         if not others or (self._failed and self._failed % ASK_ANYONE_EACH == 0):
