Model of engine choice becomes a part of the product: simulation/placement

The model of tests/unit/gateway/engine_simulation.py, in modules for engine, trace, world and comparison, with engine shapes (time a slot, pairs, first event) and kinds of prompts as parameters. What it varies are the settings of gateway/placement_policy.py, whose defaults are the former constants. No behaviour changes; tests keep their assertions (the mutation of the bound now replaces the default policy).

--- a/src/springmux/gateway/placement.py
+++ b/src/springmux/gateway/placement.py
@@ -19,6 +19,7 @@
 from springmux.gateway.engine_health import ExchangeOutcome
 from springmux.gateway.engine_pool import EngineGroup, EngineSlot, EngineTable, ServicePool
 from springmux.gateway.load_estimate import model_cost, plain_cost
+from springmux.gateway.placement_policy import DEFAULT_POLICY, PlacementPolicy
 from springmux.gateway.placement_tickets import ExchangeLedger, Ticket
 from springmux.gateway.prefix_memory import PrefixMemory
 from springmux.gateway.prompt_facts import NO_FACTS, PromptFacts
@@ -27,24 +28,12 @@
 
 __all__ = ["NO_FACTS", "ExchangeOutcome", "Placement", "PromptFacts", "Ticket"]
 
-FALLBACKS = 2
-"""Engines beyond a prefix's own that it may go to: the second and the third of its order."""
-BOUND_FACTOR = 1.5
-BOUND_CAPACITY_SHARE = 0.25
-"""An engine keeps its prefixes until it has this many times the mean of all nodes' requests on an engine, and
-this part of its places besides. It is a bound beside the others: where all are full, moving only drives
-other prefixes out of the caches (docs/notes/routing.md has the trials)."""
-CHOICES = 2
-"""Engines of which the better one is taken."""
-CALM_LOAD = 0.25
-"""Load of a plain service below which the own zone decides between equals. Above it every node's leaning to
-its zone could overload that zone's engines unseen."""
-
 
 class Placement:
     """Chooses engines and takes what became of the exchanges. ``source`` breaks ties between nodes."""
 
-    def __init__(self, zone: str, source: random.Random) -> None:
+    def __init__(self, zone: str, source: random.Random, policy: PlacementPolicy | None = None) -> None:
+        self._policy = policy or DEFAULT_POLICY
         self._zone = zone
         self._random = source
         self._table = EngineTable()
@@ -66,6 +55,8 @@
 
     def report_others(self, loads: Mapping[EngineId, tuple[float, float]]) -> None:
         """Take other nodes' load on each engine (requests, prompt tokens without a first event)."""
+        if not self._policy.others_count:
+            return
         for slot in self._reported:
             slot.other_requests = slot.other_tokens = 0.0
         self._reported = [self._table.slots[engine] for engine in loads if engine in self._table.slots]
@@ -149,7 +140,7 @@
         else:
             prefix_id, prefix_tokens = facts.long_prefix()
             slot = None
-            if prefix_tokens:
+            if prefix_tokens and self._policy.by_prefix:
                 slot = self._by_prefix(group, prefix_id, prefix_tokens, facts, excluded, now)
             if slot is None:
                 slot = self._least_wait(group, facts, excluded, now)
@@ -170,13 +161,15 @@
             return None
         own_tokens = facts.prompt_tokens - prefix_tokens
         spread = self._memory.spread(prefix_id, own_tokens, group.slots[0].record.capacity, now)
-        usable = self._first_of_order(group, prefix_id, spread + FALLBACKS, excluded, now)
+        usable = self._first_of_order(group, prefix_id, spread + self._policy.fallbacks, excluded, now)
         if not usable:
             return None
         best = min(self._some_of(usable[:spread]), key=lambda slot: (model_cost(slot, now), slot.sent_at))
         mean = sum(slot.requests for slot in group.slots) / count
+        policy = self._policy
         for slot in (best, *usable[spread:]):
-            if slot.requests <= BOUND_FACTOR * mean + BOUND_CAPACITY_SHARE * slot.record.capacity:
+            bound = policy.bound_factor * mean + policy.bound_capacity_share * slot.record.capacity
+            if slot.requests <= bound:
                 return slot
         return best
 
@@ -194,7 +187,8 @@
         return found
 
     def _some_of(self, slots: list[EngineSlot]) -> list[EngineSlot]:
-        return slots if len(slots) <= CHOICES else self._random.sample(slots, CHOICES)
+        choices = self._policy.choices
+        return slots if len(slots) <= choices else self._random.sample(slots, choices)
 
     def _least_wait(
         self, group: EngineGroup, facts: PromptFacts, excluded: Collection[EngineId], now: float
@@ -211,20 +205,20 @@
             if cost < best_cost or (cost == best_cost and best and slot.sent_at < best.sent_at):
                 best, best_cost = slot, cost
             seen += slot is not holder
-            if seen == CHOICES:
+            if seen == self._policy.choices:
                 break
         return best
 
     def _rests(self, slot: EngineSlot) -> bool:
         """Say whether a cold or slow engine, the idlest of those drawn, leaves this request to others."""
         share = slot.ramp * slot.health.share
-        return share < 1.0 and self._random.random() * CHOICES >= share
+        return share < 1.0 and self._random.random() * self._policy.choices >= share
 
     def _least_loaded(
         self, pool: ServicePool, group: EngineGroup, excluded: Collection[EngineId], now: float
     ) -> EngineSlot | None:
         """Return the plain back end with the most room, at a tie the least recently used."""
-        calm = pool.mean_in_flight * self._memory.fleet_size < CALM_LOAD * pool.capacity
+        calm = pool.mean_in_flight * self._memory.fleet_size < self._policy.calm_load * pool.capacity
         best: EngineSlot | None = None
         best_key = (math.inf, False, math.inf)
         count = len(group.slots)
--- a/tests/unit/bad_days/test_traffic_swells.py
+++ b/tests/unit/bad_days/test_traffic_swells.py
@@ -12,11 +12,15 @@
 from springmux.coordination.usage.bucket import Bucket
 from springmux.coordination.usage.part import UsagePart
 from springmux.gateway import placement
+from springmux.gateway.placement_policy import PlacementPolicy
 from springmux.node.gateway.forwarder import Forwarder
+from springmux.simulation.placement.comparison import Result, compare
+from springmux.simulation.placement.engine import EngineShape
+from springmux.simulation.placement.trace import dossier_trace as trace
+from springmux.simulation.placement.world import LoadExchange
 from tests.unit.bad_days import gateway_rules as rules
 from tests.unit.bad_days.gateway_fleet import SAFE, SETTLED_S, UNSAFE, GatewayFleet
 from tests.unit.bad_days.model_engines import Behaviour
-from tests.unit.gateway.engine_simulation import EngineShape, LoadExchange, Result, compare, trace
 from tests.unit.node_gateway.scripted_engines import now, play
 from tests.unit.node_gateway.stand_ins import tenant
 
@@ -197,5 +201,5 @@
 
 
 def test_the_checker_sees_a_hot_prefix_kept_at_one_engine(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(placement, "BOUND_FACTOR", math.inf)
+    monkeypatch.setattr(placement, "DEFAULT_POLICY", PlacementPolicy(bound_factor=math.inf))
     assert hot_prefix().long_p95_s >= LONG_P95_S
--- a/tests/unit/gateway/test_placement_policy.py
+++ b/tests/unit/gateway/test_placement_policy.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from .engine_simulation import EngineShape, LoadExchange, Result, compare, trace
+from springmux.simulation.placement.comparison import Result, compare
+from springmux.simulation.placement.engine import EngineShape
+from springmux.simulation.placement.trace import dossier_trace as trace
+from springmux.simulation.placement.world import LoadExchange
 
 NODES = 12
 ENGINES = 12
@@ -16,7 +19,7 @@
     results: dict[str, Result] = {}
     for policy in ("placement", "random", "least_loaded"):
         requests = trace(SEED, NODES, 40.0, longs_per_s, shorts_per_s)
-        results[policy] = compare(policy, requests, NODES, ENGINES, SEED)
+        results[policy] = compare(policy, requests, NODES, ENGINES, SEED, EngineShape())
     ours = results["placement"]
     for other in ("random", "least_loaded"):
         assert ours.hit_share > 2.0 * results[other].hit_share
