--- a/src/springmux/lab/bench/suite.py
+++ b/src/springmux/lab/bench/suite.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from springmux.lab.bench.control_cost import control_cost
+from springmux.lab.bench.placement_ablation import placement_ablation
 from springmux.lab.bench.quiet_fleet import quiet_fleet
 from springmux.lab.bench.quota_cost import quota_cost
 from springmux.lab.bench.relay_cost import GROWTH_REQUESTS, relay_cost
@@ -18,7 +19,7 @@
 from springmux.lab.bench.storage_cost import storage_cost
 from springmux.vocabulary.errors import SpringmuxError
 
-NAMES = ("state", "quota", "routing", "storage", "fleet", "relay", "control")
+NAMES = ("state", "quota", "routing", "placement", "storage", "fleet", "relay", "control")
 
 
 class BenchError(SpringmuxError):
@@ -67,6 +68,8 @@
         return quota_cost(options.nodes_max)
     if name == "routing":
         return routing_policies()
+    if name == "placement":
+        return placement_ablation()
     if name == "storage":
         return storage_cost(folder)
     if name == "fleet":
--- a/src/springmux/simulation/placement/trace.py
+++ b/src/springmux/simulation/placement/trace.py
@@ -28,7 +28,7 @@
     """Prompts of one kind: ``per_s`` of them, ``levels`` of shared parts, then ``own_tokens`` on average.
 
     ``spread``: standard deviation of the own tokens over their mean, log-normal, cut off at ``most_tokens``.
-    ``target_s``: time within which the first event is in time.
+    ``target_s``: time within which the first event is in time. ``worth``: what a request in time earns.
     """
 
     name: str
@@ -39,6 +39,7 @@
     most_tokens: int
     output_tokens: int
     target_s: float
+    worth: float = 1.0
 
 
 def mixed_trace(
