--- /dev/null
+++ b/tests/unit/node_gateway/test_configuration_reads.py
@@ -0,0 +1,116 @@
+"""A node shows a configuration only with a proof that it is the newest."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any, cast
+
+import pytest
+
+from springmux.agent.agent import NodeAgent
+from springmux.control.freshness.events import ProofWanted
+from springmux.coordination.kernel import Event
+from springmux.node.driver import AgentDriver
+from springmux.node.gateway.configuration_endpoints import (
+    PROOF_WAIT_S,
+    READ_PROOF_S,
+    ConfigurationEndpoints,
+)
+from springmux.node.gateway.replies import Reply
+from springmux.node.http.types import ServerExchange
+from tests.unit.node_gateway.scripted_engines import now, play
+
+DOCUMENT = b'{"version":7}'
+
+
+class Control:
+    """The control state's document."""
+
+    def gateway_document(self) -> bytes:
+        return DOCUMENT
+
+
+class StandInAgent:
+    """What the endpoints read of an agent, and the driver to it. ``proven_at``: time of its newest proof."""
+
+    def __init__(self, ready: bool = True, proven_at: float = -math.inf) -> None:
+        self.ready = ready
+        self.not_ready_reason = "" if ready else "cut off"
+        self.control = Control()
+        self.proven_at = proven_at
+        self.events: list[Event] = []
+        self.on_wanted: Callable[[], None] = lambda: None
+
+    def state_proof_age_s(self, at: float) -> float:
+        return at - self.proven_at
+
+    def submit(self, event: Event) -> None:
+        self.events.append(event)
+        self.on_wanted()
+
+
+async def _read(agent: StandInAgent) -> Reply:
+    endpoints = ConfigurationEndpoints(cast(NodeAgent, agent), cast(AgentDriver, agent), 4.0)
+    return await endpoints.handle("GET", cast(ServerExchange, None))
+
+
+def _headers(reply: Reply) -> dict[bytes, Any]:
+    return dict(reply.headers)
+
+
+def test_a_recent_proof_is_enough_and_nobody_is_asked() -> None:
+    """Given a proof that is younger than the bound, the document is shown at once."""
+
+    async def story() -> None:
+        agent = StandInAgent(proven_at=now() - 0.9 * READ_PROOF_S)
+        began = now()
+        reply = await _read(agent)
+        assert (reply.status, reply.body, agent.events) == (200, DOCUMENT, [])
+        assert now() == began
+
+    play(story())
+
+
+def test_without_a_proof_the_leader_is_asked_and_its_answer_waited_for() -> None:
+    """Given an old proof and a leader that answers, the document is shown with the new one."""
+
+    async def story() -> None:
+        agent = StandInAgent(proven_at=now() - 10.0)
+
+        def answered() -> None:
+            agent.proven_at = now()
+
+        agent.on_wanted = answered
+        reply = await _read(agent)
+        assert (reply.status, reply.body) == (200, DOCUMENT)
+        assert [type(event) for event in agent.events] == [ProofWanted]
+
+    play(story())
+
+
+@pytest.mark.parametrize("age_s", [2.0 * READ_PROOF_S, math.inf])
+def test_without_an_answer_it_is_503_with_a_time_and_in_time(age_s: float) -> None:
+    """Given nobody who answers, an operator gets no older document, and is told so within a second."""
+
+    async def story() -> None:
+        agent = StandInAgent(proven_at=now() - age_s)
+        began = now()
+        reply = await _read(agent)
+        assert reply.status == 503 and DOCUMENT not in reply.body
+        assert b"retry-after" in _headers(reply)
+        assert PROOF_WAIT_S <= now() - began < 1.0
+
+    play(story())
+
+
+def test_a_node_that_is_cut_off_says_so_at_once() -> None:
+    """Given a node out of contact, even one with a recent proof, it shows nothing and asks nobody."""
+
+    async def story() -> None:
+        agent = StandInAgent(ready=False, proven_at=now())
+        reply = await _read(agent)
+        assert reply.status == 503 and b"cut off" in reply.body
+        assert agent.events == []
+
+    play(story())
