--- a/src/springmux/gateway/placement_policy.py
+++ b/src/springmux/gateway/placement_policy.py
@@ -14,10 +14,9 @@
     full, moving only drives other prefixes out of the caches (docs/notes/routing.md has the trials).
     ``choices``: engines of which the better one is taken.
     ``short_homes``, ``draws_beside_homes``: for a short prompt with a shared part, engines that keep it, and
-    engines drawn at random beside them.
-    ``calm_load``: load of a plain service below which
-    the own zone decides between equals; above it every node's leaning to its zone could overload that zone's
-    engines unseen. ``others_count``: other nodes' loads, as reported, count.
+    engines drawn at random beside them. ``calm_load``: load of a plain service below which the own zone
+    decides between equals; above it every node's leaning to its zone could overload its engines unseen.
+    ``others_count``: other nodes' loads, as reported, count.
     """
 
     by_prefix: bool = True
--- a/src/springmux/node/gateway/request_log.py
+++ b/src/springmux/node/gateway/request_log.py
@@ -12,7 +12,7 @@
 
 
 class RequestLog:
-    """Debug lines of requests. They cost about a tenth of what a short request does, so they are off."""
+    """Debug lines of requests. Each costs processor time, so they are off by default."""
 
     def __init__(self, log: EventLog) -> None:
         self._log = log
