Observability: when a control state came into force, by which way, how long it was known of; messages to unknown nodes

Each newer state now gets a line control_in_force (way, behind_ms) and two metrics; a transfer's silent peer is named; a message dropped for a node without a known address is logged, one line a node each 5 s, and was only counted before. No logic is changed.

--- a/src/springmux/agent/effects.py
+++ b/src/springmux/agent/effects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from springmux.control.commands import CommandResult
+from springmux.control.delivery.arrival import Arrival
 from springmux.coordination.claims.decision import ClaimDecision
 from springmux.coordination.consensus.types import SnapshotMeta
 from springmux.coordination.identifiers import Revision
@@ -39,9 +40,14 @@
 
 
 class ControlChanged(Effect, frozen=True):
-    """A newer control state is in force at this node; read it from ``agent.view``."""
+    """A newer control state is in force at this node; read it from ``agent.view``.
+
+    ``gateway_version``: of the gateway's configuration in it. ``arrival``: how its newest command came here.
+    """
 
     revision: Revision
+    gateway_version: int = 0
+    arrival: Arrival | None = None
 
 
 class FlowsRevoked(Effect, frozen=True):
--- a/src/springmux/agent/in_force.py
+++ b/src/springmux/agent/in_force.py
@@ -37,7 +37,8 @@
             effects += parts.rollout.handle(rollout_view(view), now)
         parts.gateway.update_control(view, now)
         flows = parts.router.update_control(view, now)
-        return [*effects, ControlChanged(view.revision)], flows
+        changed = ControlChanged(view.revision, view.gateway.version, parts.delivery.newest_arrival)
+        return [*effects, changed], flows
 
 
 def _account_changes(before: ControlView, view: ControlView) -> AccountsChanged:
--- a/src/springmux/control/delivery/fetching.py
+++ b/src/springmux/control/delivery/fetching.py
@@ -11,7 +11,7 @@
 from springmux.control.delivery.serving import transfer_checksum
 from springmux.control.delivery.settings import DeliverySettings
 from springmux.coordination.identifiers import NodeId, Revision
-from springmux.coordination.kernel import NEVER, Effect, Send
+from springmux.coordination.kernel import NEVER, Effect, Note, NoteLevel, Send
 
 
 class Fetched(msgspec.Struct, frozen=True):
@@ -84,9 +84,12 @@
         if running.revision == own and running.attempts < self._settings.fetch_attempts:
             running.attempts += 1
             return [self._ask(running, now)]
-        if running.revision == own:
-            self._rest(running.peer, now)
-        return self._ask_next(own, now)
+        if running.revision != own:
+            return self._ask_next(own, now)
+        self._rest(running.peer, now)
+        fields = {"peer": running.peer, "revision": own, "received_bytes": len(running.content)}
+        given_up = Note("transfer_given_up", NoteLevel.INFO, fields)
+        return [given_up, *self._ask_next(own, now)]
 
     def take_chunk(
         self, sender: NodeId, chunk: StateChunk, own: Revision, now: float
--- a/src/springmux/control/delivery/part.py
+++ b/src/springmux/control/delivery/part.py
@@ -14,7 +14,9 @@
 import msgspec
 
 from springmux.control.delivery.applied_commands import AppliedCommands
+from springmux.control.delivery.arrival import Arrival, ArrivalWatch, DeliveryWay
 from springmux.control.delivery.confirmation import RevisionAsker, RevisionConfirmer
+from springmux.control.delivery.effects import ApplyCommands, ReplaceState
 from springmux.control.delivery.events import (
     CommandsCommitted,
     ConfirmedRevision,
@@ -70,6 +72,7 @@
         self._held_push: PushCommands | None = None
         recent = RecentLog(self._settings.recent_commands, self._settings.recent_bytes)
         self._applied = AppliedCommands(recent)
+        self._arrivals = ArrivalWatch()
         self._server = StateServer(recent, self._settings)
         self._fetcher = StateFetcher(rng, self._settings, self._is_near)
         self._asker = RevisionAsker(rng, self._settings)
@@ -100,6 +103,11 @@
         """Index of the newest command given to the agent; goes into every envelope."""
         return self._applied.revision
 
+    @property
+    def newest_arrival(self) -> Arrival | None:
+        """How the newest commands came here; ``None`` before the first."""
+        return self._arrivals.newest
+
     @property
     def replica_index(self) -> LogIndex:
         """Log index up to which the own replica's commands were given to the agent."""
@@ -141,7 +149,7 @@
 
     def _on_committed(self, event: CommandsCommitted, now: float) -> list[Effect]:
         commands = self._applied.new_among(event.entries)
-        effects = self._applied.take(commands)
+        effects = self._arrived(DeliveryWay.REPLICA, self._applied.take(commands), now)
         if event.entries:
             self._replica_index = max(self._replica_index, event.entries[-1].index)
         if commands and self._leading:
@@ -151,11 +159,12 @@
 
     def _on_replica_restored(self, event: ReplicaRestored, now: float) -> list[Effect]:
         self._replica_index = max(self._replica_index, event.index)
-        effects = self._applied.replace(event.snapshot)
+        effects = self._arrived(DeliveryWay.REPLICA, self._applied.replace(event.snapshot), now)
         return effects + self._confirmer.applied(self._replica_index, self._applied.revision, now)
 
     def _on_peer_revision(self, event: PeerRevisionHeard, now: float) -> list[Effect]:
         self._newest_heard = max(self._newest_heard, event.revision)
+        self._arrivals.heard(event.revision, self._applied.revision, now)
         if event.revision > self._applied.revision:
             self._fetcher.heard(event.node, event.revision, self._applied.revision, now)
         return []
@@ -220,7 +229,8 @@
         else:
             self._held_push = push
             effects = []
-        effects += self._applied.take(push.commands)
+        self._arrivals.heard(push.revision, self._applied.revision, now)
+        effects += self._arrived(DeliveryWay.PUSH, self._applied.take(push.commands), now)
         if push.revision > self._applied.revision:
             effects += self._fetcher.begin_now(sender, push.revision, self._applied.revision, now)
         return effects
@@ -244,7 +254,7 @@
         if fetched is None:
             return effects
         before = self._applied.revision
-        effects += self._take_fetched(sender, fetched)
+        effects += self._arrived(DeliveryWay.TRANSFER, self._take_fetched(sender, fetched), now)
         if self._applied.revision == before:
             self._fetcher.no_progress(sender, now)
             return effects
@@ -271,6 +281,12 @@
             return self._fetcher.begin_now(sender, answer.revision, self._applied.revision, now)
         return []
 
+    def _arrived(self, way: DeliveryWay, effects: list[Effect], now: float) -> list[Effect]:
+        """Take note of the way of what brought the state on; return ``effects`` unchanged."""
+        if any(isinstance(effect, ApplyCommands | ReplaceState) for effect in effects):
+            self._arrivals.arrived(way, self._applied.revision >= self._newest_heard, now)
+        return effects
+
     def _push(self, commands: tuple[DeliveredCommand, ...]) -> list[Effect]:
         size_bytes = sum(len(command.data) for command in commands)
         pushed = commands if size_bytes <= self._settings.push_max_bytes else ()
--- a/src/springmux/node/driver.py
+++ b/src/springmux/node/driver.py
@@ -243,7 +243,7 @@
             if claim_callback is not None:
                 claim_callback(effect.decision)
         elif isinstance(effect, ControlChanged):
-            self._metrics.set("control_revision", effect.revision)
+            self._control_changed(effect)
         elif isinstance(effect, FlowsRevoked):
             revoked = tuple(flow.request.request_id for flow in effect.flows)
             for listener in self.revocation_listeners:
@@ -260,6 +260,21 @@
         else:
             raise TypeError(f"no I/O for effect {type(effect).__name__}")
 
+    def _control_changed(self, effect: ControlChanged) -> None:
+        self._metrics.set("control_revision", effect.revision)
+        if effect.arrival is None:
+            return
+        behind_s = self._loop.time() - effect.arrival.behind_since
+        self._metrics.count("control_changes_total", effect.arrival.way)
+        self._metrics.observe("control_behind_seconds", behind_s)
+        self._log.write(
+            "control_in_force",
+            revision=effect.revision,
+            way=effect.arrival.way,
+            behind_ms=round(behind_s * 1000),
+            gateway_version=effect.gateway_version,
+        )
+
     async def _prepare(self, commands: tuple[bytes, ...]) -> None:
         def parse() -> None:
             for command in commands:
--- a/src/springmux/node/metrics.py
+++ b/src/springmux/node/metrics.py
@@ -74,6 +74,14 @@
     MetricSpec("gateway_refusals_total", _C, "Requests that the gateway refused or cut.", ("reason",)),
     MetricSpec("ready", _G, "1 while the node is ready."),
     MetricSpec("control_revision", _G, "Revision of the control state in force here."),
+    MetricSpec("control_changes_total", _C, "Newer control states put in force, by how they came.", ("way",)),
+    MetricSpec(
+        "control_behind_seconds",
+        _H,
+        "Time from first hearing of a newer control state to its being in force.",
+        (),
+        LATENCY_BUCKETS_S,
+    ),
     MetricSpec("replica_stopped", _G, "1 if this node's replica stopped."),
 )
 
--- a/src/springmux/node/peer_transport.py
+++ b/src/springmux/node/peer_transport.py
@@ -22,6 +22,7 @@
 from springmux.node.peer_frames import MAX_MESSAGE_BYTES
 from springmux.node.peer_hello import HelloKeeper
 from springmux.node.peer_reception import PeerReception
+from springmux.node.unknown_peers import UnknownPeerLog
 
 LARGE_BYTES = 64 << 10
 """From this size a message goes on the second connection (one socket buffer's worth)."""
@@ -74,6 +75,7 @@
         self._metrics = metrics
         self._random = randomness
         self._cut = cut
+        self._unknown = UnknownPeerLog(log)
         self._channels: dict[tuple[Address, str], PeerChannel] = {}
         self._server: asyncio.Server | None = None
         self._receptions: set[PeerReception] = set()
@@ -107,6 +109,7 @@
         record = self._membership().nodes.get(to)
         if record is None:
             self._metrics.count("peer_dropped_messages_total", "unknown_node")
+            self._unknown.dropped(to, type(message).__name__, asyncio.get_running_loop().time())
             return
         self.send_to_address(record.peer_address, message)
 
--- /dev/null
+++ b/src/springmux/node/unknown_peers.py
@@ -0,0 +1,33 @@
+"""Log lines about messages to nodes whose address isn't known, a bounded number of them."""
+
+from __future__ import annotations
+
+from springmux.coordination.identifiers import NodeId
+from springmux.coordination.kernel import NoteLevel
+from springmux.node.logs import EventLog
+
+LINE_PERIOD_S = 5.0
+"""One line for each unknown node in this time; such messages come several times a second."""
+MAX_NODES = 256
+
+
+class UnknownPeerLog:
+    """Counts what is dropped and writes a line at once, then one for each period in which more is."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+        self._dropped: dict[NodeId, int] = {}
+        self._next_line_at: dict[NodeId, float] = {}
+
+    def dropped(self, node: NodeId, message: str, now: float) -> None:
+        """Take note of a message to ``node`` that was dropped at monotonic time ``now``."""
+        if len(self._next_line_at) >= MAX_NODES and node not in self._next_line_at:
+            return
+        self._dropped[node] = self._dropped.get(node, 0) + 1
+        if now < self._next_line_at.get(node, 0.0):
+            return
+        self._next_line_at[node] = now + LINE_PERIOD_S
+        dropped = self._dropped.pop(node)
+        self._log.write(
+            "peer_address_unknown", NoteLevel.WARNING, peer=node, message=message, dropped=dropped
+        )
--- a/tests/unit/node/test_driver.py
+++ b/tests/unit/node/test_driver.py
@@ -8,9 +8,16 @@
 
 import pytest
 
-from springmux.agent.effects import ClaimAnswered, OrderAnswered, PrepareCommands, WriteSnapshot
+from springmux.agent.effects import (
+    ClaimAnswered,
+    ControlChanged,
+    OrderAnswered,
+    PrepareCommands,
+    WriteSnapshot,
+)
 from springmux.agent.events import CommandsPrepared
 from springmux.control.commands import RevokeKey
+from springmux.control.delivery.arrival import Arrival, DeliveryWay
 from springmux.coordination.claims.decision import ClaimDecision, ClaimVerdict
 from springmux.coordination.consensus.core import RESTART_AS_NEW
 from springmux.coordination.consensus.effects import (
@@ -24,7 +31,7 @@
     SnapshotTaken,
 )
 from springmux.coordination.consensus.types import GroupMembers, SnapshotMeta
-from springmux.coordination.identifiers import LogIndex, Term
+from springmux.coordination.identifiers import LogIndex, Revision, Term
 from springmux.coordination.kernel import NEVER, Effect, Event, Note, Tick
 from springmux.node.driver import AgentDriver
 from springmux.node.logs import EventLog
@@ -293,3 +300,18 @@
     EventLog("n1", output=lines).note(Note(name="membership_status", fields={"node": "n2"}))
     line = json.loads(lines.getvalue())
     assert (line["event"], line["node"], line["about_node"]) == ("membership_status", "n1", "n2")
+
+
+async def test_a_newer_control_state_is_logged_with_its_way_and_how_long_it_was_known_of() -> None:
+    metrics = NodeMetrics()
+    lines = io.StringIO()
+    arrival = Arrival(DeliveryWay.TRANSFER, asyncio.get_running_loop().time() - 3.0)
+    agent = RecordingAgent(lambda _: [ControlChanged(Revision(7), 5, arrival)])
+    driver = AgentDriver(agent, EventLog("n1", output=lines), metrics)
+    driver.submit(CommandsPrepared())
+    line = json.loads(lines.getvalue())
+    assert (line["event"], line["revision"], line["gateway_version"]) == ("control_in_force", 7, 5)
+    assert line["way"] == "transfer" and 3000 <= line["behind_ms"] < 4000
+    assert b'springmux_control_changes_total{way="transfer"} 1' in metrics.exposition()
+    assert b"springmux_control_behind_seconds_count 1" in metrics.exposition()
+    driver.stop()
