--- /dev/null
+++ b/tests/unit/agent/test_all_seeds_restarted.py
@@ -0,0 +1,94 @@
+"""All control machines, which are the seeds, restart at once while the other nodes run on."""
+
+from __future__ import annotations
+
+import pytest
+
+from springmux.agent.effects import OrderAnswered
+from springmux.control.commands import ApplyGateway, Outcome, gateway_order_id
+from springmux.coordination.identifiers import NodeId
+from springmux.simulation.hollow_fleet import FleetObserver, HollowFleet, places_by_zone
+from springmux.simulation.world.faults import Kill, Restart
+from springmux.simulation.world.network import NetworkSettings
+from tests.unit.agent.test_gateway_readiness import change, document, serving
+
+IN_FORCE_S = 2.0
+"""From a change's acknowledgement to its being in force at every node (docs/notes/delivery.md)."""
+DOWN_S = 0.7
+CHANGES_S = 10.0
+CHANGE_PERIOD_S = 0.25
+STEP_S = 0.05
+FIRST_NODE = NodeId("z1-1")
+
+
+class ChangingOperator(FleetObserver):
+    """Makes one change after another, each sent until it is acknowledged."""
+
+    def __init__(self, fleet: HollowFleet, present: int) -> None:
+        self.acknowledged: list[tuple[float, int]] = []
+        self._fleet = fleet
+        self._present = present
+        fleet.observers.append(self)
+
+    def order_answered(self, node: NodeId, answer: OrderAnswered, now: float) -> None:
+        if answer.result is None or answer.result.outcome is not Outcome.ACCEPTED:
+            return
+        version = answer.result.version
+        if version is not None and version > self._present:
+            self._present = version
+            self.acknowledged.append((now, version))
+
+    def press(self) -> None:
+        """Send the present change to every running node; it is decided once."""
+        data = document(self._present + 1)
+        order = gateway_order_id(self._present, data, False)
+        for node in self._fleet.agents():
+            self._fleet.submit(node, ApplyGateway(order=order, base_version=self._present, document=data))
+
+    def due(self, now: float) -> int:
+        """Return the newest version that must be in force everywhere at ``now``."""
+        return max((version for at, version in self.acknowledged if at <= now - IN_FORCE_S), default=0)
+
+
+def founded(zones: dict[str, int], disks: int, seed: int) -> HollowFleet:
+    fleet = HollowFleet(places_by_zone(zones, disks), seed, NetworkSettings(loss=0.003), losses_tolerated=1)
+    fleet.world.start_all()
+    assert fleet.run_until(lambda: fleet.leader() is not None, 10.0)
+    fleet.first_start = False
+    fleet.submit(FIRST_NODE, change(0))
+    assert fleet.run_until(lambda: len(serving(fleet)) == len(fleet.places()), 5.0)
+    fleet.world.run_for(2.0)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    ("zones", "disks"),
+    [
+        ({"z1": 3, "z2": 3, "z3": 3}, 3),
+        ({"z1": 3, "z2": 3, "z3": 3, "z4": 3}, 4),
+        ({"z1": 10, "z2": 10, "z3": 10}, 3),
+    ],
+)
+def test_changes_are_in_force_in_time_after_all_seeds_restarted_at_once(
+    zones: dict[str, int], disks: int, seed: int
+) -> None:
+    fleet = founded(zones, disks, seed)
+    controllers = [place.node for place in fleet.places() if place.controller]
+    others = [place.node for place in fleet.places() if not place.controller]
+    for node in controllers:
+        fleet.world.apply(Kill(at=fleet.world.now, node=node))
+    fleet.world.run_for(DOWN_S)
+    for node in controllers:
+        fleet.world.apply(Restart(at=fleet.world.now, node=node))
+    operator = ChangingOperator(fleet, present=1)
+    for _ in range(round(CHANGES_S / CHANGE_PERIOD_S)):
+        operator.press()
+        for _ in range(round(CHANGE_PERIOD_S / STEP_S)):
+            fleet.world.run_for(STEP_S)
+            due = operator.due(fleet.world.now)
+            in_force = {node: agent.view.gateway.version for node, agent in fleet.agents().items()}
+            late = {node: version for node, version in in_force.items() if version < due}
+            assert not late, f"version {due} is due at {fleet.world.now:.2f} s; in force: {late}"
+    assert len(operator.acknowledged) > CHANGES_S
+    assert set(others) <= set(serving(fleet))
