Stopping nodes stay in the fleet's view until they are done: leaving is a mark of the record, LEFT is said at the end

Cause: it said LEFT at once. Present nodes alone get pushes, directory relays, contact beacons and usage reports, so it heard of a change only by chance, in the answer to a message of its own, and then fetched it. Mend: on a stop the record says leaving; LEFT comes once the requests are finished. Who is leaving stays present but is no longer among the staying nodes, from which relays, homes, collectors, quota owners, claim holders and founding controllers are chosen. So the same cause is gone for the engines' directory, usage and key revocation at a stopping node. Mutations: LEFT at once, and pushes without who is leaving, are caught. The test harness' orderly stop now ends as the daemons do.

--- a/src/springmux/agent/agent.py
+++ b/src/springmux/agent/agent.py
@@ -32,12 +32,14 @@
     PeerUnreachable,
     SeedsChanged,
     StopBegun,
+    StopFinished,
 )
 from springmux.agent.gateway_readiness import GatewayReadiness
 from springmux.agent.parts import build_parts, own_record
 from springmux.agent.readiness import Readiness
 from springmux.agent.reporting import build_status
 from springmux.agent.status import NodeStatusReport
+from springmux.control.delivery.arrival import Arrival
 from springmux.control.delivery.events import PeerRevisionHeard, ReplicaRestored
 from springmux.control.freshness.events import ProofWanted
 from springmux.control.order_events import SubmitOrder
@@ -144,6 +146,11 @@
         """Why the node takes no requests to the gateway; empty while it does."""
         return self._gateway_readiness.reason
 
+    @property
+    def newest_arrival(self) -> Arrival | None:
+        """How the newest control state came here; ``None`` before the first."""
+        return self._parts.delivery.newest_arrival
+
     def state_proof_age_s(self, now: float) -> float:
         """Return how long ago nothing newer than the state in force here had been acknowledged.
 
@@ -216,6 +223,7 @@
             ProofWanted: self._to(self._parts.freshness),
             CommandsPrepared: self._on_prepared,
             StopBegun: self._on_stop,
+            StopFinished: self._on_stop_finished,
             LeadershipTransferRequested: self._on_transfer,
             ControllerRemovalRequested: self._on_removal,
             SnapshotInstalled: self._on_snapshot_installed,
@@ -268,12 +276,16 @@
 
     def _on_stop(self, event: StopBegun, now: float) -> list[Effect]:
         self._readiness.stopping = True
-        effects = self._routing.give(self._parts.membership, LeaveBegun(), now)
+        self._record = msgspec.structs.replace(self._record, leaving=True)
+        effects = self._routing.give(self._parts.membership, OwnRecordChanged(self._record), now)
         effects += self._routing.give_replica(StopAnnounced(), now)
         if self._routing.leadership.leading:
             effects += self._routing.give_replica(TransferLeadership(), now)
         return effects
 
+    def _on_stop_finished(self, event: StopFinished, now: float) -> list[Effect]:
+        return self._routing.give(self._parts.membership, LeaveBegun(), now)
+
     def _on_transfer(self, event: LeadershipTransferRequested, now: float) -> list[Effect]:
         leader = self._routing.leadership.known.leader
         return self._routing.absorb(self._routing.group.transfer(event, leader, now), now)
--- a/src/springmux/agent/directory/homes.py
+++ b/src/springmux/agent/directory/homes.py
@@ -5,17 +5,19 @@
 from springmux.agent.directory.messages import EngineLife
 from springmux.agent.directory.settings import DirectorySettings
 from springmux.coordination.identifiers import NodeId, ZoneName
+from springmux.coordination.membership.view import MembershipView
 from springmux.coordination.rendezvous import spread_holders
 from springmux.vocabulary.names import EngineId
 
 
 class HomeNodes:
-    """Homes of engines by rendezvous hash over the present nodes, spread over zones; looked up lazily."""
+    """Homes of engines by rendezvous hash over the nodes that stay, spread over zones; looked up lazily."""
 
     def __init__(self, own: NodeId, settings: DirectorySettings) -> None:
         self._own = own
         self._settings = settings
         self._zones: dict[NodeId, ZoneName] = {own: ZoneName("")}
+        self._candidates: dict[NodeId, ZoneName] = self._zones
         self._cache: dict[EngineId, tuple[NodeId, ...]] = {}
         self._own_zone = ZoneName("")
 
@@ -26,13 +28,16 @@
 
     @property
     def own_zone(self) -> ZoneName:
-        """Return the own zone; a node that is leaving isn't present any more but still relays."""
+        """Return the own zone; a node that has left isn't present any more but still relays."""
         return self._own_zone
 
-    def set_nodes(self, zones: dict[NodeId, ZoneName]) -> None:
-        """Take the present nodes."""
-        if zones != self._zones:
+    def set_view(self, view: MembershipView) -> None:
+        """Take the present nodes. Only those that stay become homes, unless none does."""
+        zones = {record.node: record.zone for record in view.present()}
+        candidates = {record.node: record.zone for record in view.staying()} or zones
+        if (zones, candidates) != (self._zones, self._candidates):
             self._zones = zones
+            self._candidates = candidates
             self._own_zone = zones.get(self._own, self._own_zone)
             self._cache.clear()
 
@@ -40,7 +45,8 @@
         """Return the homes of ``engine``."""
         homes = self._cache.get(engine)
         if homes is None:
-            found = spread_holders(engine, self._zones, self._settings.homes, lambda node: self._zones[node])
+            zones = self._candidates
+            found = spread_holders(engine, zones, self._settings.homes, lambda node: zones[node])
             homes = self._cache[engine] = tuple(found)
         return homes
 
@@ -50,7 +56,7 @@
 
     def needed_votes(self) -> int:
         """Return how many homes must find an engine silent."""
-        return min(2, len(self._zones))
+        return min(2, len(self._candidates))
 
 
 class Watch:
--- a/src/springmux/agent/directory/part.py
+++ b/src/springmux/agent/directory/part.py
@@ -74,7 +74,7 @@
         elif isinstance(event, MessageReceived):
             effects += self._receive(event.sender, event.message, now)
         elif isinstance(event, MembershipUpdated):
-            self._homes.set_nodes({record.node: record.zone for record in event.view.present()})
+            self._homes.set_view(event.view)
         elif isinstance(event, ContactChanged):
             effects += self._change_contact(event, now)
         else:
--- a/src/springmux/agent/events.py
+++ b/src/springmux/agent/events.py
@@ -28,6 +28,7 @@
     "PeerUnreachable",
     "SeedsChanged",
     "StopBegun",
+    "StopFinished",
 ]
 
 
@@ -93,7 +94,14 @@
 
 
 class StopBegun(Event, frozen=True):
-    """The node is stopping: say LEFT to the fleet, hand over leadership, take nothing new."""
+    """The node is stopping: hand over leadership and duties.
+
+    It finishes requests until :class:`StopFinished`, so it still gets all news.
+    """
+
+
+class StopFinished(Event, frozen=True):
+    """The node's requests are finished and its process is about to end: say LEFT to the fleet."""
 
 
 class ControllerRemovalRequested(Event, frozen=True):
--- a/src/springmux/control/delivery/relay_tree.py
+++ b/src/springmux/control/delivery/relay_tree.py
@@ -52,14 +52,14 @@
 
 
 def _ranked(zone: ZoneName, records: list[NodeRecord]) -> tuple[NodeId, ...]:
-    """Order a zone's nodes: the alive first, then the controllers, then by rendezvous hash of the zone.
+    """Order a zone's nodes: first the alive that stay, then the controllers, then by rendezvous hash.
 
     A relay sends a change several times over its link. Controllers are the machines set aside for that.
     """
 
     def rank(record: NodeRecord) -> tuple[bool, bool, int, NodeId]:
-        is_suspect = record.status is not NodeStatus.ALIVE
+        may_be_gone = record.leaving or record.status is not NodeStatus.ALIVE
         is_router_only = record.replica is None
-        return (is_suspect, is_router_only, -rendezvous_score(f"relay:{zone}", record.node), record.node)
+        return (may_be_gone, is_router_only, -rendezvous_score(f"relay:{zone}", record.node), record.node)
 
     return tuple(record.node for record in sorted(records, key=rank))
--- a/src/springmux/coordination/claims/ring.py
+++ b/src/springmux/coordination/claims/ring.py
@@ -151,7 +151,7 @@
     """
     records = view.controllers()
     if len(records) < HOLDERS_PER_KEY:
-        records = view.present()
+        records = view.staying()
     chosen: list[RingMember] = []
     while records and len(chosen) < RING_MEMBERS_MAX:
         record = _from_emptiest_zone(records, chosen)
@@ -176,7 +176,7 @@
     :param left: members that left in order and didn't come back soon; they go if there is another.
     """
     disks_only = _is_for_disks(ring, view)
-    candidates = view.controllers() if disks_only else view.present()
+    candidates = view.controllers() if disks_only else view.staying()
     spares = [record for record in candidates if record.node not in ring.nodes()]
     has_more = len(ring.members) > HOLDERS_PER_KEY
     lost = [member for member in ring.members if _may_go(member, gone, left, bool(spares), has_more)]
--- a/src/springmux/coordination/membership/view.py
+++ b/src/springmux/coordination/membership/view.py
@@ -27,7 +27,11 @@
 
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
-    """One node as the fleet knows it. Only the node itself raises its ``incarnation``."""
+    """One node as the fleet knows it. Only the node itself raises its ``incarnation``.
+
+    ``leaving``: its process is stopping. Until it has left it finishes requests and gets all news, but takes
+    no duties.
+    """
 
     node: NodeId
     zone: ZoneName
@@ -40,6 +44,7 @@
     status: NodeStatus = NodeStatus.ALIVE
     region: RegionName = RegionName("")
     ready: bool = False
+    leaving: bool = False
 
 
 class MembershipView(msgspec.Struct, frozen=True):
@@ -53,9 +58,13 @@
         usable = (NodeStatus.ALIVE, NodeStatus.SUSPECT)
         return sorted((r for r in self.nodes.values() if r.status in usable), key=lambda r: r.node)
 
+    def staying(self) -> list[NodeRecord]:
+        """Return the present nodes that aren't stopping, by name: those that may be given duties."""
+        return [record for record in self.present() if not record.leaving]
+
     def controllers(self) -> list[NodeRecord]:
-        """Return present nodes that hold a replica of the control log."""
-        return [record for record in self.present() if record.replica is not None]
+        """Return staying nodes that hold a replica of the control log."""
+        return [record for record in self.staying() if record.replica is not None]
 
     def zone_of(self, node: NodeId) -> ZoneName:
         """Return the zone of ``node`` (an empty name for an unknown one)."""
--- a/src/springmux/coordination/quota/part.py
+++ b/src/springmux/coordination/quota/part.py
@@ -52,7 +52,7 @@
         self._active: dict[str, Share] = {}
         self._hurried: dict[str, Share] = {}
         self._resting: dict[str, None] = {}
-        self._present: tuple[NodeId, ...] = (own,)
+        self._staying: tuple[NodeId, ...] = (own,)
         self._owners: dict[str, NodeId] = {}
         self._asked: dict[NodeId, dict[int, tuple[AccountDemand, ...]]] = {}
         self._next_ask = NEVER
@@ -66,7 +66,7 @@
         share = self._share(account, now)
         if share is None:
             return True
-        taken = share.reserve(amount, len(self._present), now, again)
+        taken = share.reserve(amount, len(self._staying), now, again)
         self._plan_ask(share, now)
         return taken
 
@@ -85,7 +85,7 @@
     def retry_after_s(self, account: str, amount: float, now: float) -> float:
         """Return when a refused caller should come back."""
         share = self._share(account, now)
-        return 0.0 if share is None else share.retry_after_s(amount, len(self._present))
+        return 0.0 if share is None else share.retry_after_s(amount, len(self._staying))
 
     def handle(self, event: Event, now: float) -> list[Effect]:
         """Take one event."""
@@ -147,10 +147,10 @@
                 share.rate = rate
 
     def _change_members(self, event: QuotaMembersChanged, now: float) -> None:
-        present = tuple(record.node for record in event.view.present())
-        if present == self._present:
+        staying = tuple(record.node for record in event.view.staying())
+        if staying == self._staying:
             return
-        self._present = present or (self._own,)
+        self._staying = staying or (self._own,)
         self._owners.clear()
         self._take_over_until = now + self._settings.take_over_s
         for account in self._owner.accounts():
@@ -168,7 +168,7 @@
     def _owner_of(self, account: str) -> NodeId:
         owner = self._owners.get(account)
         if owner is None:
-            owner = self._owners[account] = first_holders(account, self._present, 1)[0]
+            owner = self._owners[account] = first_holders(account, self._staying, 1)[0]
         return owner
 
     def _tick(self, now: float) -> list[Effect]:
@@ -190,7 +190,7 @@
             due = self._active
         demands: dict[NodeId, list[AccountDemand]] = {}
         for account, share in due.items():
-            demands.setdefault(self._owner_of(account), []).append(share.demand(len(self._present), now))
+            demands.setdefault(self._owner_of(account), []).append(share.demand(len(self._staying), now))
         self._hurried = {}
         self._next_ask = self._next_round if self._active else NEVER
         effects: list[Effect] = []
--- a/src/springmux/coordination/usage/contact.py
+++ b/src/springmux/coordination/usage/contact.py
@@ -70,7 +70,8 @@
         if size >= self._anchor or (now > self._anchor_until and size * 2 > self._anchor):
             self._anchor, self._anchor_until = size, now + self._settings.anchor_s
         controllers = [record.node for record in view.controllers()]
-        candidates = controllers if len(controllers) >= self._settings.collectors else self.present
+        staying = tuple(record.node for record in view.staying()) or self.present
+        candidates = controllers if len(controllers) >= self._settings.collectors else staying
         self.collectors = ()
         if size > self._settings.direct_nodes:
             chosen = first_holders(COLLECTORS_KEY, candidates, self._settings.collectors)
--- a/src/springmux/node/daemon.py
+++ b/src/springmux/node/daemon.py
@@ -9,7 +9,7 @@
 import uuid
 
 from springmux.agent.agent import NodeAgent
-from springmux.agent.events import StopBegun
+from springmux.agent.events import StopBegun, StopFinished
 from springmux.coordination.kernel import NoteLevel
 from springmux.node.admin_listener import AdminListener
 from springmux.node.agent_codec import AgentCodec
@@ -138,6 +138,7 @@
         self._clients.stop_accepting()
         self.driver.submit(StopBegun())
         await self._clients.finish(self._settings.stop_grace_s)
+        self.driver.submit(StopFinished())
         await asyncio.sleep(LEAVE_MESSAGES_S)
         await self.close()
         self._log.write("node_stopped")
--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from springmux.agent.agent import NodeAgent
-from springmux.agent.events import StopBegun
+from springmux.agent.events import StopBegun, StopFinished
 from springmux.agent.readiness import STOPPING
 from springmux.coordination.kernel import NoteLevel
 from springmux.coordination.membership.events import SeedsChanged
@@ -161,6 +161,7 @@
         await asyncio.sleep(STILL_ACCEPTING_S)
         self._front.stop_accepting()
         await self._front.finish(max(0.0, settings.stop_grace_s - STILL_ACCEPTING_S - STOP_MARGIN_S))
+        self.driver.submit(StopFinished())
         await asyncio.sleep(LEAVE_MESSAGES_S)
         await self.close()
         self._log.write("node_stopped")
--- a/tests/unit/agent/test_all_seeds_restarted.py
+++ b/tests/unit/agent/test_all_seeds_restarted.py
@@ -39,11 +39,11 @@
             self._present = version
             self.acknowledged.append((now, version))
 
-    def press(self) -> None:
-        """Send the present change to every running node; it is decided once."""
+    def press(self, *through: NodeId) -> None:
+        """Send the present change to nodes, by default to all that run; it is decided once."""
         data = document(self._present + 1)
         order = gateway_order_id(self._present, data, False)
-        for node in self._fleet.agents():
+        for node in through or self._fleet.agents():
             self._fleet.submit(node, ApplyGateway(order=order, base_version=self._present, document=data))
 
     def due(self, now: float) -> int:
--- /dev/null
+++ b/tests/unit/agent/test_changes_while_stopping.py
@@ -0,0 +1,108 @@
+"""Nodes that are stopping finish requests for seconds; until they are gone they get every change in time."""
+
+from __future__ import annotations
+
+import pytest
+
+from springmux.agent.agent import NodeAgent
+from springmux.agent.events import StopBegun, StopFinished
+from springmux.control.delivery.arrival import DeliveryWay
+from springmux.coordination.identifiers import NodeId
+from springmux.coordination.kernel import Effect
+from springmux.coordination.membership.events import LeaveBegun
+from springmux.coordination.membership.view import MembershipView, NodeStatus
+from springmux.simulation.hollow_fleet import HollowFleet
+from tests.unit.agent.test_all_seeds_restarted import (
+    CHANGE_PERIOD_S,
+    FIRST_NODE,
+    STEP_S,
+    ChangingOperator,
+    founded,
+)
+
+ZONES = {"z1": 10, "z2": 10, "z3": 10}
+STOPPING = tuple(NodeId(f"z{zone}-{number}") for zone in (1, 2, 3) for number in (2, 4, 6, 8))
+SAID_S = 0.5
+"""Until all nodes know who is stopping."""
+STOP_S = 8.0
+"""The platform kills a process this long after it asked it to stop."""
+
+
+def stopping_fleet(seed: int) -> HollowFleet:
+    fleet = founded(ZONES, 3, seed)
+    for node in STOPPING:
+        fleet.world.give(node, StopBegun())
+    fleet.world.run_for(SAID_S)
+    return fleet
+
+
+def late_while_stopping(fleet: HollowFleet) -> list[str]:
+    """Return what was late at the stopping nodes, with changes through one node that stays."""
+    operator = ChangingOperator(fleet, present=1)
+    late: list[str] = []
+    for _ in range(round(STOP_S / CHANGE_PERIOD_S)):
+        operator.press(FIRST_NODE)
+        for _ in range(round(CHANGE_PERIOD_S / STEP_S)):
+            fleet.world.run_for(STEP_S)
+            due = operator.due(fleet.world.now)
+            versions = {node: agent.view.gateway.version for node, agent in fleet.agents().items()}
+            late += [f"{n} has {versions[n]} instead of {due}" for n in STOPPING if versions[n] < due]
+    assert len(operator.acknowledged) > STOP_S
+    return late
+
+
+def ways(fleet: HollowFleet) -> set[DeliveryWay]:
+    """Return by which ways the newest changes came to the stopping nodes."""
+    arrivals = [fleet.agents()[node].newest_arrival for node in STOPPING]
+    return {arrival.way for arrival in arrivals if arrival is not None}
+
+
+@pytest.mark.parametrize("seed", [2, 3, 4])
+def test_a_stopping_node_has_each_change_in_time_until_it_is_gone(seed: int) -> None:
+    fleet = stopping_fleet(seed)
+    assert late_while_stopping(fleet) == []
+    assert ways(fleet) == {DeliveryWay.PUSH}
+
+
+def leave_at_once(agent: NodeAgent, event: StopBegun, now: float) -> list[Effect]:
+    return agent._routing.give(agent._parts.membership, LeaveBegun(), now)
+
+
+def test_the_check_sees_nodes_that_say_at_once_that_they_have_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(NodeAgent, "_on_stop", leave_at_once)
+    assert late_while_stopping(stopping_fleet(3))
+
+
+def test_the_check_sees_pushes_that_leave_out_who_is_stopping(monkeypatch: pytest.MonkeyPatch) -> None:
+    present = MembershipView.present
+    monkeypatch.setattr(
+        MembershipView, "present", lambda view: [record for record in present(view) if not record.leaving]
+    )
+    fleet = stopping_fleet(3)
+    late_while_stopping(fleet)
+    assert DeliveryWay.TRANSFER in ways(fleet)
+
+
+def test_who_is_stopping_gives_its_duties_away_at_once_and_is_present_until_it_has_finished() -> None:
+    fleet = founded({"z1": 3, "z2": 3, "z3": 3}, 3, 1)
+    node, other = NodeId("z2-2"), NodeId("z3-3")
+    fleet.world.give(node, StopBegun())
+    fleet.world.run_for(SAID_S)
+    view = fleet.agents()[other].membership
+    assert node in {record.node for record in view.present()}
+    assert node not in {record.node for record in view.staying()}
+
+    fleet.world.give(node, StopFinished())
+    fleet.world.run_for(SAID_S)
+    view = fleet.agents()[other].membership
+    assert view.nodes[node].status is NodeStatus.LEFT
+    assert node not in {record.node for record in view.present()}
+
+
+def test_a_stopping_controller_is_no_longer_among_those_that_found_or_hold() -> None:
+    fleet = founded({"z1": 3, "z2": 3, "z3": 3}, 3, 1)
+    node = NodeId("z2-1")
+    fleet.world.give(node, StopBegun())
+    fleet.world.run_for(SAID_S)
+    for agent in fleet.agents().values():
+        assert node not in {record.node for record in agent.membership.controllers()}
--- a/tests/unit/control/delivery/test_delivery.py
+++ b/tests/unit/control/delivery/test_delivery.py
@@ -491,3 +491,13 @@
     part.handle(PeerRevisionHeard(NodeId("n02"), Term(9), Revision(0)), 0.0)
     (question,) = part.handle(LeadershipKnown(Term(1), LEADER), 0.1)
     assert isinstance(question, Send) and question.to == LEADER
+
+
+def test_who_is_stopping_gets_pushes_but_passes_none_on() -> None:
+    records = [member(f"n{number:02}", "north" if number < 4 else "south") for number in range(9)]
+    leaving = {"n04", "n05"}
+    records = [msgspec.structs.replace(record, leaving=record.node in leaving) for record in records]
+    branches = branches_of_leader(view_of("n00", records), DeliverySettings())
+    reached = [branch.to for branch in branches] + [node for branch in branches for node in branch.relay_to]
+    assert sorted(reached) == sorted(record.node for record in records[1:])
+    assert {branch.to for branch in branches}.isdisjoint(leaving)
--- a/tests/unit/simulation/site.py
+++ b/tests/unit/simulation/site.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from springmux.agent.effects import OrderAnswered
-from springmux.agent.events import SeedsChanged, StopBegun
+from springmux.agent.events import SeedsChanged, StopBegun, StopFinished
 from springmux.control.commands import Outcome, PutTenant
 from springmux.control.view import Tenant
 from springmux.coordination.identifiers import NodeId, ZoneName
@@ -28,6 +28,8 @@
 from springmux.vocabulary.names import OrderId, TenantName
 
 STARTS_APART_S = 0.3
+LEAVING_S = 0.1
+"""A process says that it has left this long before it ends, as the daemons do."""
 COMES_UP_S = (0.5, 1.5)
 """From the start of a process until it listens."""
 WRITE_EVERY_S = 0.1
@@ -179,6 +181,7 @@
         """SIGTERM: the process says so, and ends a little later."""
         self.trouble(node)
         self.world.give(node, StopBegun())
+        self.world.scheduler.after(takes_s - LEAVING_S, lambda: self.world.give(node, StopFinished()))
         self.world.scheduler.after(takes_s, lambda: self.kill(node))
 
     def voters(self) -> set[NodeId]:
