--- a/src/springmux/node/gateway/process.py
+++ b/src/springmux/node/gateway/process.py
@@ -56,6 +56,8 @@
 """Part of the grace that is left for closing."""
 KEYS_NOT_CURRENT = "out of contact: a key may have been taken away"
 """A node that would refuse nearly all gets no callers while others can serve them."""
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 CONTROL_BODY_BYTES = 16 << 20
 CONTROL_LIMITS = ServerLimits(max_body_bytes=CONTROL_BODY_BYTES, idle_timeout_s=30.0)
 
@@ -234,7 +236,10 @@
         """Run until stopped; return the exit code."""
         self._handle_signals()
         folder = Path(self._settings.data_folder) if self._settings.data_folder else None
-        return await run_nodes(folder, self._make_process, self._log)
+        try:
+            return await run_nodes(folder, self._make_process, self._log)
+        finally:
+            self._ignore_signals()
 
     def _make_process(self, opened: OpenedStorage) -> GatewayProcess:
         self._process = GatewayProcess(self._settings, self._names, opened, self._log, self._stop_requested)
@@ -242,10 +247,17 @@
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
+    def _ignore_signals(self) -> None:
+        """Let no signal end the process before it has ended by itself; the loop's end would restore that."""
+        loop = asyncio.get_running_loop()
+        for number in HANDLED_SIGNALS:
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
     def _reload(self) -> None:
         try:
             settings = load_gateway_settings(self._file)
--- /dev/null
+++ b/tests/unit/node_gateway/test_signals.py
@@ -0,0 +1,80 @@
+"""Signals that come in series to a gateway process: while it starts, runs, stops and ends."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[3]
+COMMANDS = {
+    "the gateway's own": [sys.executable, "-m", "springmux.node.gateway", "{settings}"],
+    "the platform's": [sys.executable, str(ROOT / "platform" / "main.py")],
+}
+LONG_S = 60.0
+PERIOD_S = 0.01
+
+
+def free_port() -> int:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return int(listener.getsockname()[1])
+
+
+def settings_in(folder: Path) -> Path:
+    file = folder / "node.toml"
+    ports = {name: free_port() for name in ("front", "ready", "control", "peer")}
+    lines = [
+        "node = 'alone'",
+        "zone = 'z1'",
+        "host = '127.0.0.1'",
+        *(f"{name}_address = '127.0.0.1:{ports[name]}'" for name in ("front", "ready", "control")),
+        f"peer_port = '{ports['peer']}'",
+        "stop_grace_s = '8'",
+    ]
+    file.write_text("\n".join(lines), "utf-8")
+    return file
+
+
+def ignores_or_handles(process: subprocess.Popen[bytes], number: signal.Signals) -> bool:
+    """Whether the signal no longer ends the process."""
+    status = Path(f"/proc/{process.pid}/status").read_text("utf-8")
+    masks = dict(line.split(":\t") for line in status.splitlines() if line.startswith("Sig"))
+    return any(int(masks[name], 16) >> (number - 1) & 1 for name in ("SigIgn", "SigCgt"))
+
+
+@pytest.mark.parametrize("kind", COMMANDS)
+def test_hang_ups_in_series_never_end_a_process_and_a_stop_ends_it_in_order(
+    kind: str, tmp_path: Path
+) -> None:
+    settings = settings_in(tmp_path)
+    command = [part.format(settings=settings) for part in COMMANDS[kind]]
+    log_file = tmp_path / "log"
+    environment = {**os.environ, "SPRINGMUX_BOOT": str(settings)}
+    with log_file.open("wb") as log:
+        process = subprocess.Popen(command, stdout=log, stderr=log, env=environment)
+    try:
+        until = time.monotonic() + LONG_S
+        while not ignores_or_handles(process, signal.SIGHUP):
+            assert process.poll() is None and time.monotonic() < until
+        while b"node_started" not in log_file.read_bytes():
+            process.send_signal(signal.SIGHUP)
+            time.sleep(PERIOD_S)
+            assert process.poll() is None and time.monotonic() < until
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            time.sleep(PERIOD_S)
+            assert time.monotonic() < until
+        assert process.returncode == 0
+        assert b"settings_reloaded" in log_file.read_bytes()
+    finally:
+        process.kill()
+        process.wait()
