Soak: signals, restarts and changes in series upon real processes, callers on open connections, from one seed

Three faults of its first version were its own and mended: a version number used by two rivals, processes counted as started before they listen, and one that a hang-up ended while it was loaded was not started again.

--- a/Makefile
+++ b/Makefile
@@ -25,16 +25,20 @@
 	$(BIN)/ruff format src tests examples platform
 	$(BIN)/ruff check --fix src tests examples platform
 
-test: $(STAMP) ## formatter, linter, import borders, type checker and tests
+test: $(STAMP) ## formatter, linter, import borders, type checker, tests and a short soak
 	$(BIN)/ruff format --check src tests examples platform
 	$(BIN)/ruff check src tests examples platform
 	$(BIN)/lint-imports
 	$(BIN)/mypy
 	$(BIN)/pytest -n 6 --pass-over-known-red
+	$(BIN)/springmux lab soak --first-seed 12 --nodes 6 --seconds 45
 
 demo: $(STAMP) ## run a whole fleet on loopback under traffic, rollouts and faults
 	$(BIN)/springmux lab demo
 
+soak: $(STAMP) ## fifty seeds of signals, restarts and changes upon real processes (45 minutes)
+	$(BIN)/springmux lab soak --seeds 50 --keep reports/soak
+
 bench: $(STAMP) ## measure costs beside the bare relay and write reports/bench
 	$(BIN)/springmux lab bench --report reports/bench
 
@@ -44,4 +48,4 @@
 clean: ## remove what the targets above made
 	rm -rf $(VENV) reports var build
 
-.PHONY: help setup lock format test demo bench reference clean
+.PHONY: help setup lock format test demo soak bench reference clean
--- a/src/springmux/cli/lab.py
+++ b/src/springmux/cli/lab.py
@@ -21,6 +21,7 @@
 from springmux.cli.explore import explore
 from springmux.cli.output import fail
 from springmux.cli.rollout_scenarios import rollout_scenarios
+from springmux.cli.soak import soak
 from springmux.vocabulary.errors import SpringmuxError
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
 )
 application.command()(bench)
 application.command()(explore)
+application.command()(soak)
 application.command("rollouts")(rollout_scenarios)
 
 SettingsOption = Annotated[Path, typer.Option("--settings", help="JSON file with the settings.")]
--- /dev/null
+++ b/src/springmux/cli/soak.py
@@ -0,0 +1,57 @@
+"""``springmux lab soak``: signals, restarts and changes in series upon real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from springmux.cli.exit_codes import ExitCode
+from springmux.cli.output import fail
+
+
+def soak(
+    seeds: Annotated[int, typer.Option(help="How many seeds to run, one after another.", min=1)] = 1,
+    first_seed: Annotated[int, typer.Option(help="The first seed.", min=0)] = 1,
+    nodes: Annotated[int, typer.Option(help="Processes.", min=3, max=250)] = 9,
+    controllers: Annotated[int, typer.Option(help="Nodes with a data folder.", min=1)] = 3,
+    zones: Annotated[int, typer.Option(help="Zones.", min=1)] = 3,
+    seconds: Annotated[float, typer.Option(help="Length of each run.", min=15)] = 40.0,
+    connections: Annotated[int, typer.Option(help="Open connections to each node.", min=1)] = 3,
+    change_period_s: Annotated[float, typer.Option(help="Mean time between changes.", min=0.05)] = 0.4,
+    keep: Annotated[
+        Path | None, typer.Option(help="Keep settings, data and logs of failed seeds here.")
+    ] = None,
+) -> None:
+    """Soak a fleet of gateway processes on loopback; a seed draws everything that happens.
+
+    Callers use open connections until the process is gone. Exit codes: 0 nothing found, 1 a rule was broken.
+
+    Example: springmux lab soak --seeds 50 --keep reports/soak
+    """
+    from springmux.lab.soak.plan import SoakSize
+    from springmux.lab.soak.run import soak as run_soak
+
+    if controllers > nodes:
+        fail("there can't be more controllers than nodes", ExitCode.INVALID)
+    size = SoakSize(nodes, controllers, zones, seconds, change_period_s, connections)
+    failed: list[int] = []
+    for seed in range(first_seed, first_seed + seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f"springmux-soak-{seed}-"))
+        report = asyncio.run(run_soak(seed, size, folder))
+        counts = ", ".join(f"{name} {count}" for name, count in report.counts.items())
+        typer.echo(f"seed {seed}: {len(report.findings)} findings; {counts}")
+        for finding in report.findings:
+            typer.echo(f"  {finding.at_s:7.2f} s  {finding.rule.value}: {finding.what}")
+        if report.findings:
+            failed.append(seed)
+            if keep is not None:
+                shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
+        shutil.rmtree(folder, ignore_errors=True)
+    if failed:
+        typer.echo(f"failed seeds: {', '.join(map(str, failed))}")
+        raise typer.Exit(ExitCode.FAILED)
--- /dev/null
+++ b/src/springmux/lab/soak/configurations.py
@@ -0,0 +1,117 @@
+"""The versions of the configuration that a soak's operators send, and what each answers to a request."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import msgspec
+
+HOST = "soak.example"
+SERVICES = ("first", "second")
+KEPT_ROUTES = 40
+"""Newest numbered routes that a version has; each version adds one."""
+MOVING_PATH = "/moving/"
+"""Its service changes with each version."""
+KEY_PERIOD = 3
+"""Versions after which the key that callers use is replaced."""
+KEPT_KEYS = 2
+TENANT = "soak"
+UNKNOWN_ROUTE, UNKNOWN_KEY = "404", "401"
+ROUTE_TIMEOUT_MS = 6000
+
+
+class Version(msgspec.Struct, frozen=True):
+    """One configuration: routes by path, and keys."""
+
+    number: int
+    routes: dict[str, str]
+    keys: tuple[str, ...]
+
+    def outcome(self, path: str, key: str) -> str:
+        """Return the service that a request reaches, or the status that refuses it."""
+        service = self.routes.get(path)
+        if service is None:
+            return UNKNOWN_ROUTE
+        return service if key in self.keys else UNKNOWN_KEY
+
+    def numbered_path(self) -> str:
+        """Return the path of the route that this version added."""
+        return numbered_path(self.number)
+
+
+def numbered_path(number: int) -> str:
+    """Return the path of the route that version ``number`` added."""
+    return f"/{number}/"
+
+
+def first_version() -> Version:
+    """Return the version of the fleet's start."""
+    return Version(1, {MOVING_PATH: SERVICES[0], numbered_path(1): SERVICES[0]}, (_key(1),))
+
+
+def next_version(base: Version, above: int, source: random.Random) -> Version:
+    """Return a version that may follow ``base``. Numbers rise in uneven steps.
+
+    :param above: the highest number used, also by a version that was refused.
+    """
+    number = max(base.number, above) + source.randint(1, 3)
+    moved = SERVICES[1] if base.routes[MOVING_PATH] == SERVICES[0] else SERVICES[0]
+    numbered = {path: service for path, service in base.routes.items() if path != MOVING_PATH}
+    kept = dict(list(numbered.items())[-KEPT_ROUTES:])
+    routes = {MOVING_PATH: moved, **kept, numbered_path(number): source.choice(SERVICES)}
+    keys = base.keys
+    if number // KEY_PERIOD != base.number // KEY_PERIOD:
+        keys = (*base.keys, _key(number))[-KEPT_KEYS:]
+    return Version(number, routes, keys)
+
+
+def whole_document(version: Version) -> bytes:
+    """Return the whole configuration as JSON."""
+    return json.dumps(
+        {
+            "version": version.number,
+            "routes": [_route(path, service) for path, service in version.routes.items()],
+            "services": [{"name": name} for name in SERVICES],
+            "tenants": [_tenant(version)],
+        }
+    ).encode()
+
+
+def partial_document(base: Version, version: Version) -> bytes:
+    """Return the change from ``base`` to ``version``, items by name."""
+    changed = [
+        _route(path, service) for path, service in version.routes.items() if base.routes.get(path) != service
+    ]
+    removed = [_route_name(path) for path in base.routes if path not in version.routes]
+    return json.dumps(
+        {
+            "version": version.number,
+            "upsert": {"routes": changed, "tenants": [_tenant(version)]},
+            "remove": {"routes": removed},
+        }
+    ).encode()
+
+
+def _route(path: str, service: str) -> dict[str, object]:
+    return {
+        "name": _route_name(path),
+        "host": HOST,
+        "path_prefix": path,
+        "kind": "unsafe",
+        "service": service,
+        "timeout_ms": ROUTE_TIMEOUT_MS,
+        "target_ms": 500,
+    }
+
+
+def _route_name(path: str) -> str:
+    return f"route-{path.strip('/')}"
+
+
+def _tenant(version: Version) -> dict[str, object]:
+    return {"name": TENANT, "api_keys": list(version.keys)}
+
+
+def _key(number: int) -> str:
+    return f"key-{number}"
--- /dev/null
+++ b/src/springmux/lab/soak/history.py
@@ -0,0 +1,54 @@
+"""What the operator sent and what was acknowledged, with times; what a request may be answered by it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from springmux.lab.soak.configurations import Version
+
+
+class SentVersion(msgspec.Struct):
+    """A version with the times (monotonic seconds) of its first sending and its acknowledgement.
+
+    ``refused``: it lost a race, so it is never in force.
+    """
+
+    version: Version
+    sent_at: float
+    acknowledged_at: float | None = None
+    refused: bool = False
+
+
+class ConfigurationHistory:
+    """All versions in the order of their numbers."""
+
+    def __init__(self) -> None:
+        self.sent: dict[int, SentVersion] = {}
+
+    def send(self, version: Version, now: float) -> SentVersion:
+        """Note the first sending of a version."""
+        return self.sent.setdefault(version.number, SentVersion(version, now))
+
+    def newest_acknowledged(self, before: float) -> int:
+        """Return the newest version acknowledged before a time; 0 if there is none."""
+        return max(
+            (
+                number
+                for number, sent in self.sent.items()
+                if sent.acknowledged_at is not None and sent.acknowledged_at <= before
+            ),
+            default=0,
+        )
+
+    def acknowledged(self, number: int) -> SentVersion | None:
+        """Return a version that was acknowledged."""
+        sent = self.sent.get(number)
+        return sent if sent is not None and sent.acknowledged_at is not None else None
+
+    def possible(self, least: int, before: float) -> list[Version]:
+        """Return the versions from number ``least`` on that may be in force at a time."""
+        return [
+            sent.version
+            for number, sent in sorted(self.sent.items())
+            if number >= least and sent.sent_at <= before and not sent.refused
+        ]
--- /dev/null
+++ b/src/springmux/lab/soak/nodes.py
@@ -0,0 +1,301 @@
+"""The gateway processes of a soak: start, signals, and when each was last disturbed."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from springmux.lab.soak.engines import ControlPlace
+from springmux.lab.soak.findings import Findings, Rule
+from springmux.lab.soak.plan import SignalKind, SoakSize, Step
+
+FRONT_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 8001, 8002, 8003, 7300
+SEEDS = 3
+GRACE_S = 8.0
+"""From SIGTERM to SIGKILL."""
+END_SLACK_S = 1.0
+"""A process may end this much later than its grace, on a machine that runs many."""
+CONTACT_S = 3.0
+"""A machine, or the core, counts as undisturbed this long after the last disturbance."""
+POLL_S = 0.02
+
+
+class SoakNode:
+    """One machine and its present process, if it runs."""
+
+    def __init__(self, number: int, zone: str, host: str, folder: Path, has_disk: bool) -> None:
+        self.number = number
+        self.name = f"node-{number}"
+        self.host = host
+        self.has_disk = has_disk
+        self.life = 0
+        """Counts processes."""
+        self.process: subprocess.Popen[bytes] | None = None
+        self.stopping = False
+        self.frozen = False
+        self.frozen_s = 0.0
+        """How long this life was frozen in all."""
+        self.ended = asyncio.Event()
+        self.started = False
+        """Whether the present process listens; how long that takes depends on the machine."""
+        self.undisturbed_from = 0.0
+        self._zone = zone
+        self._folder = folder
+        self._killed_life = 0
+        self._log_begins_at = 0
+
+    @property
+    def running(self) -> bool:
+        """Whether there is a process, frozen or not."""
+        return self.process is not None
+
+    @property
+    def log_file(self) -> Path:
+        """What the processes write."""
+        return self._folder / f"{self.name}.log"
+
+    @property
+    def was_killed(self) -> bool:
+        """Whether the present or last process was killed by the run."""
+        return self._killed_life == self.life
+
+    def write_settings(self, seeds: list[str], first_start: bool) -> None:
+        """Write the settings file that the next start or hang-up reads."""
+        lines = {
+            "node": self.name,
+            "zone": self._zone,
+            "host": self.host,
+            "front_address": f"{self.host}:{FRONT_PORT}",
+            "ready_address": f"{self.host}:{READY_PORT}",
+            "control_address": f"{self.host}:{CONTROL_PORT}",
+            "peer_port": str(PEER_PORT),
+            "first_start": str(first_start).lower(),
+            "stop_grace_s": str(GRACE_S),
+            "data_folder": str(self._folder / f"{self.name}-data") if self.has_disk else "",
+        }
+        text = "".join(f"{name} = '{value}'\n" for name, value in lines.items())
+        listed = ", ".join(f"'{seed}:{CONTROL_PORT}'" for seed in seeds)
+        written = self._settings_file.with_suffix(".new")
+        written.write_text(text + f"seeds = [{listed}]\n", "utf-8")
+        written.replace(self._settings_file)
+
+    def start(self) -> None:
+        """Start a process."""
+        self.life += 1
+        self.started = self.stopping = self.frozen = False
+        self.frozen_s = 0.0
+        self.ended = asyncio.Event()
+        self._log_begins_at = self.log_file.stat().st_size if self.log_file.exists() else 0
+        arguments = [sys.executable, "-m", "springmux.node.gateway", str(self._settings_file)]
+        with self.log_file.open("ab") as log:
+            self.process = subprocess.Popen(arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        self.disturbed()
+
+    def disturbed(self, for_s: float = 0.0) -> None:
+        """Note a disturbance that lasts ``for_s`` from now on."""
+        self.undisturbed_from = max(self.undisturbed_from, time.monotonic() + for_s + CONTACT_S)
+
+    def send(self, number: signal.Signals) -> None:
+        """Signal the present process."""
+        if self.process is not None:
+            if number == signal.SIGKILL:
+                self._killed_life = self.life
+            self.process.send_signal(number)
+
+    def has_logged(self, event: str) -> bool:
+        """Whether the present or last process wrote a line with ``event`` in it."""
+        with self.log_file.open("rb") as log:
+            log.seek(self._log_begins_at)
+            return event.encode() in log.read()
+
+    def poll(self) -> int | None:
+        """Return the exit code if the process has just ended."""
+        if self.process is None:
+            return None
+        code = self.process.poll()
+        if code is not None:
+            self.process = None
+            self.ended.set()
+        return code
+
+    @property
+    def _settings_file(self) -> Path:
+        return self._folder / f"{self.name}.toml"
+
+
+class SoakNodes:
+    """All machines; carries out the steps of a plan."""
+
+    def __init__(self, size: SoakSize, folder: Path, findings: Findings, source: random.Random) -> None:
+        self._findings = findings
+        self._random = source
+        self._core_undisturbed_from = 0.0
+        process = os.getpid()
+        network = f"127.{1 + process // 250 % 250}.{process % 250}"
+        self.nodes = [
+            SoakNode(
+                number,
+                f"zone-{number % size.zones}",
+                f"{network}.{number + 1}",
+                folder,
+                number < size.controllers,
+            )
+            for number in range(size.nodes)
+        ]
+        self._seeds = [node.host for node in self.nodes[: min(SEEDS, size.controllers)]]
+        self._watcher: asyncio.Task[None] | None = None
+        self._over = False
+
+    def control_places(self) -> list[ControlPlace]:
+        """Return where engines and operators can speak to nodes."""
+        return [ControlPlace(node.host, CONTROL_PORT) for node in self.nodes]
+
+    def is_undisturbed(self, node: SoakNode, now: float) -> bool:
+        """Whether a node and the core had no disturbance lately. A node's own stop isn't one."""
+        own = node.started and not node.frozen and now >= node.undisturbed_from
+        return own and now >= self._core_undisturbed_from and self._core_runs()
+
+    def _core_runs(self) -> bool:
+        """Whether most nodes with a disk run, and none of them is starting."""
+        core = [node for node in self.nodes if node.has_disk]
+        usable = [node for node in core if node.running and node.started and not node.frozen]
+        return 2 * len(usable) > len(core) and not any(node.running and not node.started for node in core)
+
+    def start_all(self) -> None:
+        """Start the fleet for the first time."""
+        for node in self.nodes:
+            node.write_settings(self._seeds, first_start=True)
+        for node in self.nodes:
+            self._start(node)
+        self._watcher = asyncio.get_running_loop().create_task(self._watch())
+
+    async def carry_out(self, step: Step) -> None:
+        """Carry out one step, with the start or thaw that follows it."""
+        node = self.nodes[step.node]
+        if not node.running:
+            return
+        match step.kind:
+            case SignalKind.TERMINATE:
+                await self._terminate(node, step.for_s)
+            case SignalKind.KILL:
+                await self._kill(node, step.for_s)
+            case SignalKind.FREEZE:
+                await self._freeze(node, step.for_s)
+            case SignalKind.HANG_UP:
+                self._hang_up(node)
+
+    async def end(self) -> None:
+        """Stop every process in order, and see that all end so."""
+        self._over = True
+        await asyncio.gather(*(self._stopped(node) for node in self.nodes if node.running))
+        if self._watcher is not None:
+            self._watcher.cancel()
+            await asyncio.gather(self._watcher, return_exceptions=True)
+
+    def kill_all(self) -> None:
+        """End whatever still runs."""
+        for node in self.nodes:
+            if node.process is not None:
+                node.process.kill()
+                node.process.wait()
+
+    def _start(self, node: SoakNode) -> None:
+        if not self._over and not node.running:
+            node.start()
+            self._note_core(node)
+
+    def _note_core(self, node: SoakNode, for_s: float = 0.0) -> None:
+        if node.has_disk:
+            until = time.monotonic() + for_s + CONTACT_S
+            self._core_undisturbed_from = max(self._core_undisturbed_from, until)
+
+    async def _terminate(self, node: SoakNode, down_s: float) -> None:
+        if await self._stopped(node):
+            await asyncio.sleep(down_s)
+            node.write_settings(self._seeds, first_start=False)
+            self._start(node)
+
+    async def _stopped(self, node: SoakNode) -> bool:
+        """Stop a process; ``False`` if it was stopping already."""
+        life, already = node.life, node.stopping
+        node.stopping = True
+        self._note_core(node)
+        node.send(signal.SIGTERM)
+        if already:
+            return False
+        began_at = time.monotonic()
+        while not node.ended.is_set():
+            if time.monotonic() - began_at > GRACE_S + END_SLACK_S + node.frozen_s and not node.frozen:
+                self._findings.add(Rule.END, f"{node.name} runs {GRACE_S:g} s after its stop was asked for")
+                node.send(signal.SIGKILL)
+            await asyncio.sleep(POLL_S)
+        return node.life == life
+
+    async def _kill(self, node: SoakNode, down_s: float) -> None:
+        node.disturbed()
+        self._note_core(node)
+        node.send(signal.SIGKILL)
+        await node.ended.wait()
+        await asyncio.sleep(down_s)
+        if not node.running:
+            node.write_settings(self._seeds, first_start=False)
+            self._start(node)
+
+    async def _freeze(self, node: SoakNode, for_s: float) -> None:
+        if node.frozen:
+            return
+        life = node.life
+        node.frozen = True
+        node.disturbed(for_s)
+        self._note_core(node, for_s)
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        if node.life == life and node.running:
+            node.frozen = False
+            node.frozen_s += for_s
+            node.disturbed()
+            self._note_core(node)
+            node.send(signal.SIGCONT)
+
+    def _hang_up(self, node: SoakNode) -> None:
+        running = [other.host for other in self.nodes if other.running]
+        self._seeds = self._random.sample(running, min(SEEDS, len(running)))
+        node.write_settings(self._seeds, first_start=False)
+        node.send(signal.SIGHUP)
+
+    def _notice_start(self, node: SoakNode) -> None:
+        if node.running and not node.started and node.has_logged("node_started"):
+            node.started = True
+            node.disturbed()
+            self._note_core(node)
+
+    async def _watch(self) -> None:
+        """Notice ends; one that nobody asked for is a finding, and so is a stop with another code than 0."""
+        while True:
+            for node in self.nodes:
+                self._notice_start(node)
+                code = node.poll()
+                if code is None or node.was_killed or (node.stopping and code == 0):
+                    continue
+                if not _is_in_order(node, code):
+                    asked = "was asked to stop and" if node.stopping else "was asked nothing but"
+                    self._findings.add(Rule.END, f"{node.name} (life {node.life}) {asked} ended with {code}")
+                if not node.stopping:
+                    self._start(node)
+            await asyncio.sleep(POLL_S)
+
+
+def _is_in_order(node: SoakNode, code: int) -> bool:
+    """Whether a process may have ended with ``code`` because it didn't listen for a signal yet.
+
+    That is so for SIGTERM until the node has started, and for SIGHUP until its program begins.
+    """
+    if code == -signal.SIGTERM:
+        return node.stopping and not node.has_logged("node_started")
+    return code == -signal.SIGHUP and not node.has_logged("event")
--- /dev/null
+++ b/src/springmux/lab/soak/wire.py
@@ -0,0 +1,88 @@
+"""HTTP/1.1 over one open connection, as a caller that sees when and how the other side ends it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import msgspec
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer. Header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def closes(self) -> bool:
+        """Whether the other side ends the connection after it."""
+        return self.headers.get("connection", "").lower() == "close"
+
+
+class ConnectionOver(Exception):
+    """The connection ended without a whole answer."""
+
+
+class CallerConnection:
+    """One connection; requests go one after another."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @staticmethod
+    async def open(host: str, port: int, timeout_s: float) -> CallerConnection:
+        """Connect.
+
+        :raises OSError: if that fails, :class:`TimeoutError` among them.
+        """
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection(host, port)
+        return CallerConnection(reader, writer)
+
+    async def ask(
+        self, method: str, target: str, headers: dict[str, str], body: bytes, timeout_s: float
+    ) -> Answer:
+        """Send a request and wait for its answer.
+
+        :raises ConnectionOver: if the connection ends first.
+        :raises TimeoutError: if no whole answer comes in time.
+        """
+        lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+        lines.append(f"content-length: {len(body)}")
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        try:
+            self._writer.write(head.encode() + body)
+            async with asyncio.timeout(timeout_s):
+                return await self._answer()
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            raise ConnectionOver(type(error).__name__) from error
+
+    async def _answer(self) -> Answer:
+        head = await self._reader.readuntil(b"\r\n\r\n")
+        first, *rest = head.decode("latin-1").strip().split("\r\n")
+        pairs = (line.partition(":") for line in rest)
+        headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+        body = await self._reader.readexactly(int(headers.get("content-length", "0")))
+        return Answer(int(first.split(" ")[1]), headers, body)
+
+    def close(self) -> None:
+        """End the connection."""
+        with contextlib.suppress(OSError):
+            self._writer.close()
+
+
+async def ask_once(
+    host: str, port: int, method: str, target: str, headers: dict[str, str], body: bytes, timeout_s: float
+) -> Answer:
+    """Send one request over a connection of its own.
+
+    :raises OSError, ConnectionOver: if there is no whole answer.
+    """
+    connection = await CallerConnection.open(host, port, timeout_s)
+    try:
+        return await connection.ask(method, target, headers, body, timeout_s)
+    finally:
+        connection.close()
--- /dev/null
+++ b/tests/unit/lab/test_soak.py
@@ -0,0 +1,179 @@
+"""The soak's plan, configurations and judge, without processes."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+
+from springmux.control.commands import ApplyGateway, Outcome
+from springmux.control.gateway_section import GatewaySection
+from springmux.lab.soak.configurations import (
+    MOVING_PATH,
+    SERVICES,
+    UNKNOWN_KEY,
+    UNKNOWN_ROUTE,
+    Version,
+    first_version,
+    next_version,
+    numbered_path,
+    partial_document,
+    whole_document,
+)
+from springmux.lab.soak.findings import Findings, Rule
+from springmux.lab.soak.history import ConfigurationHistory
+from springmux.lab.soak.judge import IN_FORCE_S, LOSS_SLACK_S, STEP_BACK_S, Judge
+from springmux.lab.soak.nodes import SoakNode, SoakNodes
+from springmux.lab.soak.plan import QUIET_S, SETTLE_S, SignalKind, SoakSize, make_plan
+from springmux.lab.soak.wire import Answer
+from springmux.vocabulary.names import OrderId
+
+SIZE = SoakSize()
+OLD_KEY, NEW_KEY = "key-1", "key-2"
+FIRST = Version(1, {numbered_path(1): SERVICES[0], MOVING_PATH: SERVICES[0]}, (OLD_KEY,))
+SECOND = Version(2, {**FIRST.routes, numbered_path(2): SERVICES[1], MOVING_PATH: SERVICES[1]}, (NEW_KEY,))
+
+
+def test_a_seed_draws_the_same_steps_each_time_and_others_draw_others() -> None:
+    assert make_plan(7, SIZE) == make_plan(7, SIZE)
+    assert make_plan(7, SIZE) != make_plan(8, SIZE)
+
+
+def test_steps_lie_between_the_start_and_the_quiet_end_in_order() -> None:
+    for seed in range(30):
+        times = [step.at_s for step in make_plan(seed, SIZE)]
+        assert times == sorted(times)
+        assert times[0] >= SETTLE_S and times[-1] < SIZE.seconds - QUIET_S
+
+
+def test_over_some_seeds_every_signal_comes_and_reaches_every_node() -> None:
+    steps = [step for seed in range(30) for step in make_plan(seed, SIZE)]
+    assert {step.kind for step in steps} == set(SignalKind)
+    for kind in SignalKind:
+        assert {step.node for step in steps if step.kind is kind} == set(range(SIZE.nodes))
+
+
+def test_signals_overlap() -> None:
+    """In most seeds a node gets a signal while another's stop or absence lasts."""
+    overlapping = 0
+    for seed in range(30):
+        plan = make_plan(seed, SIZE)
+        overlapping += any(
+            first.node != second.node and first.at_s < second.at_s < first.at_s + first.for_s
+            for first in plan
+            for second in plan
+        )
+    assert overlapping > 25
+
+
+def applied(section: GatewaySection, base: int, document: bytes, partial: bool) -> Outcome:
+    order = OrderId(f"order-{base}")
+    return section.apply(
+        ApplyGateway(order=order, base_version=base, document=document, partial=partial)
+    ).outcome
+
+
+def test_a_partial_change_leads_to_the_same_configuration_as_the_whole() -> None:
+    source = random.Random(1)
+    section = GatewaySection()
+    version = first_version()
+    assert applied(section, 0, whole_document(version), False) is Outcome.ACCEPTED
+    for _ in range(100):
+        following = next_version(version, version.number, source)
+        document = partial_document(version, following)
+        assert applied(section, version.number, document, True) is Outcome.ACCEPTED
+        whole = GatewaySection()
+        assert applied(whole, 0, whole_document(following), False) is Outcome.ACCEPTED
+        present, wanted = section.configuration, whole.configuration
+        assert set(present.routes) == set(wanted.routes)
+        assert present.tenants == wanted.tenants
+        version = following
+
+
+def test_a_version_says_what_answers_a_request() -> None:
+    assert SECOND.outcome(numbered_path(2), NEW_KEY) == SERVICES[1]
+    assert SECOND.outcome(numbered_path(2), OLD_KEY) == UNKNOWN_KEY
+    assert SECOND.outcome(numbered_path(3), NEW_KEY) == UNKNOWN_ROUTE
+
+
+class Court:
+    """A judge with two versions: the second was acknowledged at 10 s. One node runs."""
+
+    def __init__(self, tmp_path: Path, undisturbed: bool = True) -> None:
+        self.findings = Findings()
+        self.history = ConfigurationHistory()
+        for version, at in ((FIRST, 0.0), (SECOND, 10.0)):
+            self.history.send(version, at).acknowledged_at = at
+        nodes = SoakNodes(SoakSize(nodes=1, controllers=1), tmp_path, self.findings, random.Random(1))
+        self.node: SoakNode = nodes.nodes[0]
+        self.node.life = 1
+        nodes.is_undisturbed = lambda node, now: undisturbed  # type: ignore[method-assign]
+        self.judge = Judge(self.history, nodes, self.findings)
+
+    def answer(self, path: str, key: str, at: float, status: int, body: bytes = b"") -> list[Rule]:
+        asked = self.judge.asked(f"request-{at}", self.node, path, key, at)
+        self.judge.answered(asked, Answer(status, {}, body), at + 0.01)
+        return [finding.rule for finding in self.findings.found]
+
+
+LATE_S = 10.0 + IN_FORCE_S + 0.1
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status", "body"),
+    [
+        (numbered_path(2), NEW_KEY, 404, b""),
+        (numbered_path(1), NEW_KEY, 401, b""),
+        (numbered_path(1), OLD_KEY, 200, SERVICES[0].encode()),
+        (MOVING_PATH, NEW_KEY, 200, SERVICES[0].encode()),
+    ],
+    ids=["a new route", "a new key", "a key that was taken away", "a moved route"],
+)
+def test_an_answer_by_an_older_version_is_found_where_the_newer_one_is_due(
+    path: str, key: str, status: int, body: bytes, tmp_path: Path
+) -> None:
+    assert Court(tmp_path).answer(path, key, LATE_S, status, body) == [Rule.NEWEST]
+
+
+def test_the_older_version_may_answer_until_the_newer_one_is_due_and_at_disturbed_nodes(
+    tmp_path: Path,
+) -> None:
+    old = (numbered_path(1), OLD_KEY, 200, SERVICES[0].encode())
+    path, key, status, body = old
+    assert Court(tmp_path).answer(path, key, 10.0 + IN_FORCE_S - 0.1, status, body) == []
+    assert Court(tmp_path, undisturbed=False).answer(path, key, LATE_S, status, body) == []
+
+
+def test_a_node_that_answered_by_a_version_may_not_go_back(tmp_path: Path) -> None:
+    court = Court(tmp_path, undisturbed=False)
+    assert court.answer(MOVING_PATH, NEW_KEY, 10.5, 200, SERVICES[1].encode()) == []
+    assert court.answer(MOVING_PATH, OLD_KEY, 10.6, 200, SERVICES[0].encode()) == []
+    later = 10.5 + STEP_BACK_S + 0.1
+    assert court.answer(MOVING_PATH, OLD_KEY, later, 200, SERVICES[0].encode()) == [Rule.NO_STEP_BACK]
+
+
+def test_another_life_of_a_node_may_begin_with_an_older_version(tmp_path: Path) -> None:
+    court = Court(tmp_path, undisturbed=False)
+    court.answer(MOVING_PATH, NEW_KEY, 10.5, 200, SERVICES[1].encode())
+    court.node.life = 2
+    assert court.answer(MOVING_PATH, OLD_KEY, 12.0, 200, SERVICES[0].encode()) == []
+
+
+def test_a_request_that_ran_and_got_no_answer_is_found_unless_its_node_was_killed(tmp_path: Path) -> None:
+    court = Court(tmp_path)
+    asked = court.judge.asked("request", court.node, MOVING_PATH, NEW_KEY, 11.0)
+    court.judge.unanswered(asked, 0, 11.0 + LOSS_SLACK_S / 2)
+    assert not court.findings.found
+    court.judge.unanswered(asked, 1, 11.0 + LOSS_SLACK_S / 2)
+    court.judge.unanswered(asked, 0, 11.0 + 2 * LOSS_SLACK_S)
+    assert [finding.rule for finding in court.findings.found] == [Rule.ANSWERED] * 2
+    court.node.life = 2
+    court.judge.unanswered(asked, 1, 12.0)
+    assert len(court.findings.found) == 2
+
+
+def test_refused_requests_are_kept_to_see_that_none_ran(tmp_path: Path) -> None:
+    court = Court(tmp_path)
+    court.answer(MOVING_PATH, NEW_KEY, 11.0, 503)
+    assert court.judge.refused == ["request-11.0"]
