--- a/src/springmux/cli/soak.py
+++ b/src/springmux/cli/soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import shutil
+import signal
 import tempfile
 from pathlib import Path
 from typing import Annotated
@@ -38,6 +39,8 @@
 
     if controllers > nodes:
         fail("there can't be more controllers than nodes", ExitCode.INVALID)
+    # A run that is stopped ends its processes as one that is interrupted does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     size = SoakSize(nodes, controllers, zones, seconds, change_period_s, connections)
     failed: list[int] = []
     for seed in range(first_seed, first_seed + seeds):
--- a/src/springmux/lab/soak/callers.py
+++ b/src/springmux/lab/soak/callers.py
@@ -16,6 +16,7 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_S = 0.1
 DEADLINE_S = 6.0
+"""Several times what the longest request takes at an engine."""
 PAUSE_S = (0.03, 0.18)
 """Between two requests on a connection."""
 
@@ -68,12 +69,10 @@
             }
             try:
                 answer = await connection.ask("POST", asked.path, headers, b"soak", DEADLINE_S)
-            except ConnectionOver:
+            except (ConnectionOver, TimeoutError):
                 self._judge.unanswered(asked, self._engines.runs(asked.request), time.monotonic())
                 await asyncio.sleep(RECONNECT_S)
                 return
-            except TimeoutError:
-                return
             self._judge.answered(asked, answer, time.monotonic())
             if answer.closes:
                 return
--- a/src/springmux/lab/soak/judge.py
+++ b/src/springmux/lab/soak/judge.py
@@ -72,7 +72,7 @@
             self._seen.setdefault((asked.node.number, asked.life), []).append((now, least))
 
     def unanswered(self, asked: AskedRequest, ran: int, now: float) -> None:
-        """Judge a connection that ended after a request was sent and before its answer."""
+        """Judge a connection that ended, or was given up, after a request was sent and before its answer."""
         self._findings.count("connection ended")
         node = asked.node
         if node.life != asked.life or node.was_killed or node.frozen_s or node.frozen:
--- a/src/springmux/lab/soak/run.py
+++ b/src/springmux/lab/soak/run.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from springmux.lab.soak.callers import SoakCaller
+from springmux.lab.soak.configurations import HOST
 from springmux.lab.soak.engines import SoakEngines
 from springmux.lab.soak.findings import Finding, Findings, Rule
 from springmux.lab.soak.history import ConfigurationHistory
@@ -24,6 +25,8 @@
 """As long as many processes on a busy machine take to start and found their group."""
 READ_BACK_S = 10.0
 LOOK_S = 0.2
+PROBE = "probe"
+"""Id of the run's own requests, which may run often."""
 
 
 class SoakReport(msgspec.Struct, frozen=True):
@@ -87,9 +90,7 @@
         await changes
         await asyncio.sleep(IN_FORCE_S + CONTACT_S)
         await self._read_back()
-        for caller in callers:
-            caller.cancel()
-        await asyncio.gather(*callers, return_exceptions=True)
+        await _end_callers(callers)
         await self._nodes.end()
         self._check_runs()
 
@@ -142,7 +143,7 @@
     async def _probe(self, host: str, path: str) -> int:
         sent = self._history.acknowledged(self._history.newest_acknowledged(time.monotonic()))
         assert sent is not None
-        headers = {"host": "soak.example", "x-api-key": sent.version.keys[-1], "x-request-id": "probe"}
+        headers = {"host": HOST, "x-api-key": sent.version.keys[-1], "x-request-id": PROBE}
         try:
             answer = await ask_once(host, FRONT_PORT, "POST", path, headers, b"", READ_BACK_S)
         except (OSError, ConnectionOver):
@@ -155,10 +156,19 @@
                 self._findings.add(Rule.ONCE, f"{request} was refused, and run")
         for engine in self._engines.engines:
             for request, runs in engine.runs.items():
-                if request != "probe" and self._engines.runs(request) > 1:
+                if request != PROBE and self._engines.runs(request) > 1:
                     self._findings.add(Rule.ONCE, f"{request} was run {runs} times at {engine.name}")
 
 
+async def _end_callers(callers: list[asyncio.Task[None]]) -> None:
+    """Cancel the callers; one that had ended by a fault of its own raises it."""
+    for caller in callers:
+        caller.cancel()
+    for ended in await asyncio.gather(*callers, return_exceptions=True):
+        if not isinstance(ended, asyncio.CancelledError) and isinstance(ended, BaseException):
+            raise ended
+
+
 async def soak(seed: int, size: SoakSize, folder: Path) -> SoakReport:
     """Run the soak of one seed; settings, data and logs are in ``folder``, which exists."""
     return await SoakRun(seed, size, folder).run()
