Soak, read again: headers read in one place, a request that may stay unanswered asked in one, disturbances noted in one

No rule, bound or draw of the plan changes. Reading a message stood in the caller's connection and in the engines, catching a failed request four times, the pair of notes for a node and the core five times, looking up the newest acknowledged version three times a request. A literal key and a literal 2.0 s are the named constants now; one docstring named a field that isn't there.

--- a/src/springmux/lab/soak/callers.py
+++ b/src/springmux/lab/soak/callers.py
@@ -6,10 +6,10 @@
 import random
 import time
 
-from springmux.lab.soak.configurations import HOST, MOVING_PATH, numbered_path
+from springmux.lab.soak.configurations import FIRST_KEY, HOST, MOVING_PATH, numbered_path
 from springmux.lab.soak.engines import SoakEngines
 from springmux.lab.soak.history import ConfigurationHistory
-from springmux.lab.soak.judge import AskedRequest, Judge
+from springmux.lab.soak.judge import IN_FORCE_S, AskedRequest, Judge
 from springmux.lab.soak.nodes import FRONT_PORT, SoakNode
 from springmux.lab.soak.wire import CallerConnection, ConnectionOver
 
@@ -17,6 +17,8 @@
 RECONNECT_S = 0.1
 DEADLINE_S = 6.0
 """Several times what the longest request takes at an engine."""
+PRESENT_KEY_SHARE = 0.85
+"""Requests with the newest key; the others have the first one, which is soon taken away."""
 PAUSE_S = (0.03, 0.18)
 """Between two requests on a connection."""
 
@@ -80,20 +82,19 @@
 
     def _next_request(self) -> AskedRequest | None:
         now = time.monotonic()
-        newest = self._history.acknowledged(self._history.newest_acknowledged(now))
+        newest = self._history.newest(now)
         if newest is None:
             return None
         self._requests += 1
-        keys = newest.version.keys
-        key = keys[-1] if self._random.random() < 0.85 else "key-1"
-        return self._judge.asked(f"{self._name}-{self._requests}", self._node, self._path(now), key, now)
+        key = newest.keys[-1] if self._random.random() < PRESENT_KEY_SHARE else FIRST_KEY
+        path = self._path(newest.number, now)
+        return self._judge.asked(f"{self._name}-{self._requests}", self._node, path, key, now)
 
-    def _path(self, now: float) -> str:
+    def _path(self, newest: int, now: float) -> str:
         """Return a path: of a route added lately, the moving one, an old one, or one to come."""
         draw = self._random.random()
-        newest = self._history.newest_acknowledged(now)
         if draw < 0.45:
-            return numbered_path(self._history.newest_acknowledged(now - 2.0) or newest)
+            return numbered_path(self._history.newest_acknowledged(now - IN_FORCE_S) or newest)
         if draw < 0.6:
             return numbered_path(newest)
         if draw < 0.9:
--- a/src/springmux/lab/soak/configurations.py
+++ b/src/springmux/lab/soak/configurations.py
@@ -16,6 +16,7 @@
 KEY_PERIOD = 3
 """Versions after which the key that callers use is replaced."""
 KEPT_KEYS = 2
+FIRST_KEY = "key-1"
 TENANT = "soak"
 UNKNOWN_ROUTE, UNKNOWN_KEY = "404", "401"
 ROUTE_TIMEOUT_MS = 6000
@@ -47,7 +48,7 @@
 
 def first_version() -> Version:
     """Return the version of the fleet's start."""
-    return Version(1, {MOVING_PATH: SERVICES[0], numbered_path(1): SERVICES[0]}, (_key(1),))
+    return Version(1, {MOVING_PATH: SERVICES[0], numbered_path(1): SERVICES[0]}, (FIRST_KEY,))
 
 
 def next_version(base: Version, above: int, source: random.Random) -> Version:
--- a/src/springmux/lab/soak/engines.py
+++ b/src/springmux/lab/soak/engines.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from springmux.lab.soak.configurations import SERVICES
-from springmux.lab.soak.wire import ConnectionOver, ask_once
+from springmux.lab.soak.wire import ask_once, read_message
 
 ENGINES_EACH = 2
 SLOTS = 64
@@ -69,10 +69,9 @@
         )
         target = f"/v1/gateway/engines/{self.name}"
         for place in self._random.sample(places, len(places)):
-            with contextlib.suppress(OSError, ConnectionOver):
-                answer = await ask_once(place.host, place.port, "PUT", target, {}, body, REPORT_TIMEOUT_S)
-                if answer.status == 200:
-                    return
+            answer = await ask_once(place.host, place.port, "PUT", target, {}, body, REPORT_TIMEOUT_S)
+            if answer is not None and answer.status == 200:
+                return
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
@@ -80,12 +79,9 @@
                 await self._serve_one(reader, writer)
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-        pairs = (line.partition(":") for line in head[1:])
-        headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
-        await reader.readexactly(int(headers.get("content-length", "0")))
+        first, headers, _ = await read_message(reader)
         request = headers.get("x-request-id", "")
-        if not head[0].startswith("GET /health"):
+        if not first.startswith("GET /health"):
             self.runs[request] = self.runs.get(request, 0) + 1
             await asyncio.sleep(self._work_s())
         body = self._service.encode()
--- a/src/springmux/lab/soak/history.py
+++ b/src/springmux/lab/soak/history.py
@@ -30,15 +30,18 @@
         return self.sent.setdefault(version.number, SentVersion(version, now))
 
     def newest_acknowledged(self, before: float) -> int:
-        """Return the newest version acknowledged before a time; 0 if there is none."""
-        return max(
-            (
-                number
-                for number, sent in self.sent.items()
-                if sent.acknowledged_at is not None and sent.acknowledged_at <= before
-            ),
-            default=0,
-        )
+        """Return the number of the newest version acknowledged before a time; 0 if there is none."""
+        newest = self.newest(before)
+        return newest.number if newest is not None else 0
+
+    def newest(self, before: float) -> Version | None:
+        """Return the newest version acknowledged before a time, whole."""
+        versions = [
+            sent.version
+            for sent in self.sent.values()
+            if sent.acknowledged_at is not None and sent.acknowledged_at <= before
+        ]
+        return max(versions, key=lambda version: version.number, default=None)
 
     def acknowledged(self, number: int) -> SentVersion | None:
         """Return a version that was acknowledged."""
--- a/src/springmux/lab/soak/judge.py
+++ b/src/springmux/lab/soak/judge.py
@@ -21,7 +21,7 @@
 
 
 class AskedRequest(msgspec.Struct, frozen=True):
-    """A request as it was sent. ``least``: oldest version that the node may handle it by."""
+    """A request as it was sent. ``undisturbed``: its node must handle it by the newest version due."""
 
     request: str
     node: SoakNode
--- a/src/springmux/lab/soak/nodes.py
+++ b/src/springmux/lab/soak/nodes.py
@@ -95,7 +95,6 @@
         arguments = [sys.executable, "-m", "springmux.node.gateway", str(self._settings_file)]
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
-        self.disturbed()
 
     def disturbed(self, for_s: float = 0.0) -> None:
         """Note a disturbance that lasts ``for_s`` from now on."""
@@ -208,9 +207,14 @@
     def _start(self, node: SoakNode) -> None:
         if not self._over and not node.running:
             node.start()
-            self._note_core(node)
+            self._disturb(node)
 
-    def _note_core(self, node: SoakNode, for_s: float = 0.0) -> None:
+    def _disturb(self, node: SoakNode, for_s: float = 0.0) -> None:
+        """Note a disturbance of a node that lasts ``for_s`` from now on."""
+        node.disturbed(for_s)
+        self._disturb_core(node, for_s)
+
+    def _disturb_core(self, node: SoakNode, for_s: float = 0.0) -> None:
         if node.has_disk:
             until = time.monotonic() + for_s + CONTACT_S
             self._core_undisturbed_from = max(self._core_undisturbed_from, until)
@@ -225,7 +229,7 @@
         """Stop a process; ``False`` if it was stopping already."""
         life, already = node.life, node.stopping
         node.stopping = True
-        self._note_core(node)
+        self._disturb_core(node)
         node.send(signal.SIGTERM)
         if already:
             return False
@@ -238,8 +242,7 @@
         return node.life == life
 
     async def _kill(self, node: SoakNode, down_s: float) -> None:
-        node.disturbed()
-        self._note_core(node)
+        self._disturb(node)
         node.send(signal.SIGKILL)
         await node.ended.wait()
         await asyncio.sleep(down_s)
@@ -252,15 +255,13 @@
             return
         life = node.life
         node.frozen = True
-        node.disturbed(for_s)
-        self._note_core(node, for_s)
+        self._disturb(node, for_s)
         node.send(signal.SIGSTOP)
         await asyncio.sleep(for_s)
         if node.life == life and node.running:
             node.frozen = False
             node.frozen_s += for_s
-            node.disturbed()
-            self._note_core(node)
+            self._disturb(node)
             node.send(signal.SIGCONT)
 
     def _hang_up(self, node: SoakNode) -> None:
@@ -272,8 +273,7 @@
     def _notice_start(self, node: SoakNode) -> None:
         if node.running and not node.started and node.has_logged("node_started"):
             node.started = True
-            node.disturbed()
-            self._note_core(node)
+            self._disturb(node)
 
     async def _watch(self) -> None:
         """Notice ends; one that nobody asked for is a finding, and so is a stop with another code than 0."""
--- a/src/springmux/lab/soak/operators.py
+++ b/src/springmux/lab/soak/operators.py
@@ -16,7 +16,7 @@
 from springmux.lab.soak.engines import ControlPlace
 from springmux.lab.soak.findings import Findings, Rule
 from springmux.lab.soak.history import ConfigurationHistory
-from springmux.lab.soak.wire import Answer, ConnectionOver, ask_once
+from springmux.lab.soak.wire import Answer, ask_once
 
 TARGET = "/v1/gateway/configuration"
 ASK_TIMEOUT_S = 5.0
@@ -121,15 +121,9 @@
     async def _ask(self, method: str, base: int, body: bytes) -> Answer | None:
         place = self._random.choice(self._places)
         headers = {"if-match": str(base), "host": place.host}
-        try:
-            return await ask_once(place.host, place.port, method, TARGET, headers, body, ASK_TIMEOUT_S)
-        except (OSError, ConnectionOver):
-            return None
+        return await ask_once(place.host, place.port, method, TARGET, headers, body, ASK_TIMEOUT_S)
 
 
 async def newest_shown(place: ControlPlace) -> Answer | None:
     """Ask one node for the whole configuration."""
-    try:
-        return await ask_once(place.host, place.port, "GET", TARGET, {"host": place.host}, b"", ASK_TIMEOUT_S)
-    except (OSError, ConnectionOver):
-        return None
+    return await ask_once(place.host, place.port, "GET", TARGET, {"host": place.host}, b"", ASK_TIMEOUT_S)
--- a/src/springmux/lab/soak/run.py
+++ b/src/springmux/lab/soak/run.py
@@ -19,7 +19,7 @@
 from springmux.lab.soak.nodes import CONTACT_S, FRONT_PORT, SoakNodes
 from springmux.lab.soak.operators import SoakOperators, newest_shown
 from springmux.lab.soak.plan import SoakSize, make_plan
-from springmux.lab.soak.wire import ConnectionOver, ask_once
+from springmux.lab.soak.wire import ask_once
 
 FIRST_CONFIGURATION_S = 60.0
 """As long as many processes on a busy machine take to start and found their group."""
@@ -99,9 +99,8 @@
         if not await self._operators.begin():
             return False
         until = time.monotonic() + FIRST_CONFIGURATION_S
-        path = self._newest_path()
         while time.monotonic() < until:
-            statuses = await asyncio.gather(*(self._probe(node.host, path) for node in self._nodes.nodes))
+            statuses = await asyncio.gather(*(self._probe(node.host) for node in self._nodes.nodes))
             if set(statuses) == {200}:
                 return True
             await asyncio.sleep(LOOK_S)
@@ -122,7 +121,6 @@
     async def _read_back(self) -> None:
         """Every node must serve by the newest acknowledged version and show it."""
         newest = self._history.newest_acknowledged(time.monotonic())
-        path = self._newest_path()
         for node, place in zip(self._nodes.nodes, self._nodes.control_places(), strict=True):
             until = time.monotonic() + READ_BACK_S
             shown = await newest_shown(place)
@@ -130,25 +128,19 @@
                 await asyncio.sleep(LOOK_S)
                 shown = await newest_shown(place)
             number = json.loads(shown.body)["version"] if shown is not None and shown.status == 200 else None
-            served = await self._probe(node.host, path)
+            served = await self._probe(node.host)
             if number != newest or served != 200:
                 what = f"{node.name} shows version {number} and answers {served}; {newest} was acknowledged"
                 self._findings.add(Rule.ACKNOWLEDGED, what)
 
-    def _newest_path(self) -> str:
-        sent = self._history.acknowledged(self._history.newest_acknowledged(time.monotonic()))
-        assert sent is not None
-        return sent.version.numbered_path()
-
-    async def _probe(self, host: str, path: str) -> int:
-        sent = self._history.acknowledged(self._history.newest_acknowledged(time.monotonic()))
-        assert sent is not None
-        headers = {"host": HOST, "x-api-key": sent.version.keys[-1], "x-request-id": PROBE}
-        try:
-            answer = await ask_once(host, FRONT_PORT, "POST", path, headers, b"", READ_BACK_S)
-        except (OSError, ConnectionOver):
-            return 0
-        return answer.status
+    async def _probe(self, host: str) -> int:
+        """Ask a node on the newest acknowledged route; return the status, 0 without an answer."""
+        newest = self._history.newest(time.monotonic())
+        assert newest is not None
+        headers = {"host": HOST, "x-api-key": newest.keys[-1], "x-request-id": PROBE}
+        path = newest.numbered_path()
+        answer = await ask_once(host, FRONT_PORT, "POST", path, headers, b"", READ_BACK_S)
+        return answer.status if answer is not None else 0
 
     def _check_runs(self) -> None:
         for request in self._judge.refused:
--- a/src/springmux/lab/soak/wire.py
+++ b/src/springmux/lab/soak/wire.py
@@ -25,6 +25,18 @@
     """The connection ended without a whole answer."""
 
 
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """Return a message's first line, its headers with names in lower case, and its body.
+
+    :raises asyncio.IncompleteReadError: if the connection ends before.
+    """
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *rest = head.decode("latin-1").strip().split("\r\n")
+    pairs = (line.partition(":") for line in rest)
+    headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+    return first, headers, await reader.readexactly(int(headers.get("content-length", "0")))
+
+
 class CallerConnection:
     """One connection; requests go one after another."""
 
@@ -61,11 +73,7 @@
             raise ConnectionOver(type(error).__name__) from error
 
     async def _answer(self) -> Answer:
-        head = await self._reader.readuntil(b"\r\n\r\n")
-        first, *rest = head.decode("latin-1").strip().split("\r\n")
-        pairs = (line.partition(":") for line in rest)
-        headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
-        body = await self._reader.readexactly(int(headers.get("content-length", "0")))
+        first, headers, body = await read_message(self._reader)
         return Answer(int(first.split(" ")[1]), headers, body)
 
     def close(self) -> None:
@@ -76,13 +84,13 @@
 
 async def ask_once(
     host: str, port: int, method: str, target: str, headers: dict[str, str], body: bytes, timeout_s: float
-) -> Answer:
-    """Send one request over a connection of its own.
-
-    :raises OSError, ConnectionOver: if there is no whole answer.
-    """
-    connection = await CallerConnection.open(host, port, timeout_s)
+) -> Answer | None:
+    """Send one request over a connection of its own; return ``None`` if there is no whole answer."""
     try:
-        return await connection.ask(method, target, headers, body, timeout_s)
-    finally:
-        connection.close()
+        connection = await CallerConnection.open(host, port, timeout_s)
+        try:
+            return await connection.ask(method, target, headers, body, timeout_s)
+        finally:
+            connection.close()
+    except (OSError, ConnectionOver):
+        return None
