Delivery: a transfer goes on elsewhere when its peer is lost or falls silent; reads follow the deployment's time

What callers could see: a change late by up to 3.4 s twice over, where the peer that a node fetched from was gone or fell silent in the middle: the wait was for the whole window of chunks, and the same peer was asked a second time. A lost connection was told to membership only. The read of the configuration was proven within 1.0 s whatever change_in_force_ms is.

Change: delivery hears of lost connections and goes on at another peer with what has come; the wait is for the next chunk; who falls silent in the middle is left at once if another has it.

--- a/src/springmux/control/delivery/events.py
+++ b/src/springmux/control/delivery/events.py
@@ -24,6 +24,12 @@
     snapshot: bytes
 
 
+class PeerLost(Event, frozen=True):
+    """The transport lost the connection to a peer: what it was sending won't come."""
+
+    node: NodeId
+
+
 class PeerRevisionHeard(Event, frozen=True):
     """A peer's message carried its term and revision in the envelope."""
 
--- a/src/springmux/control/delivery/fetching.py
+++ b/src/springmux/control/delivery/fetching.py
@@ -81,16 +81,35 @@
             return self._ask_next(own, now) if now >= self._begin_at else []
         if now < running.deadline:
             return []
-        if running.revision == own and running.attempts < self._settings.fetch_attempts:
-            running.attempts += 1
-            return [self._ask(running, now)]
         if running.revision != own:
             return self._ask_next(own, now)
+        fell_silent = len(running.content) > 0 and self._has_another(running, own, now)
+        if running.attempts < self._settings.fetch_attempts and not fell_silent:
+            running.attempts += 1
+            return [self._ask(running, now)]
+        return self._give_up(running, own, now)
+
+    def peer_lost(self, peer: NodeId, own: Revision, now: float) -> list[Effect]:
+        """The connection to ``peer`` is lost: what it was to send won't come."""
+        running = self._running
+        if running is None or running.peer != peer:
+            return []
+        return self._give_up(running, own, now)
+
+    def _give_up(self, running: _Running, own: Revision, now: float) -> list[Effect]:
+        """Go on at another peer, with what has come so far."""
         self._rest(running.peer, now)
         fields = {"peer": running.peer, "revision": own, "received_bytes": len(running.content)}
         given_up = Note("transfer_given_up", NoteLevel.INFO, fields)
         return [given_up, *self._ask_next(own, now)]
 
+    def _has_another(self, running: _Running, own: Revision, now: float) -> bool:
+        """Whether a peer beside the asked one is ahead and isn't left alone for not answering."""
+        return any(
+            node != running.peer and revision > own and self._resting_until.get(node, 0.0) <= now
+            for node, revision in self._ahead.items()
+        )
+
     def take_chunk(
         self, sender: NodeId, chunk: StateChunk, own: Revision, now: float
     ) -> tuple[Fetched | None, list[Effect]]:
@@ -157,7 +176,7 @@
         return Send(running.peer, fetch)
 
     def _wait_s(self, running: _Running) -> float:
-        """Return how long to wait for the next chunk, by how much of the window is still on its way.
+        """Return how long to wait for the next chunk of those on their way.
 
         The peer's link may be carrying the same for as many others as it pushes to. To ask again, here or
         elsewhere, before it can have come would only fill the links with copies.
@@ -165,7 +184,7 @@
         due_bytes = max(0, min(running.window_end, running.total_bytes) - len(running.content))
         settings = self._settings
         shared_link_bytes_s = settings.slowest_link_bytes_s / settings.fan_out
-        return settings.fetch_timeout_s + min(due_bytes / shared_link_bytes_s, settings.transfer_wait_s)
+        return settings.fetch_timeout_s + min(due_bytes, settings.chunk_bytes) / shared_link_bytes_s
 
     def _choose(self, own: Revision, now: float) -> NodeId | None:
         """Prefer peers that answer, then near ones; else at random, so that load spreads."""
--- a/src/springmux/control/delivery/part.py
+++ b/src/springmux/control/delivery/part.py
@@ -21,6 +21,7 @@
     CommandsCommitted,
     ConfirmedRevision,
     MembershipChanged,
+    PeerLost,
     PeerRevisionHeard,
     ReplicaRestored,
     SnapshotProvided,
@@ -81,6 +82,7 @@
             CommandsCommitted: self._on_committed,
             ReplicaRestored: self._on_replica_restored,
             PeerRevisionHeard: self._on_peer_revision,
+            PeerLost: self._on_peer_lost,
             MembershipChanged: self._on_membership,
             LeadershipKnown: self._on_leadership,
             ContactChanged: self._on_contact,
@@ -169,6 +171,9 @@
             self._fetcher.heard(event.node, event.revision, self._applied.revision, now)
         return []
 
+    def _on_peer_lost(self, event: PeerLost, now: float) -> list[Effect]:
+        return self._fetcher.peer_lost(event.node, self._applied.revision, now)
+
     def _on_membership(self, event: MembershipChanged, now: float) -> list[Effect]:
         self._members = event.view
         return []
--- a/src/springmux/control/delivery/settings.py
+++ b/src/springmux/control/delivery/settings.py
@@ -14,9 +14,10 @@
     ``window_chunks``: chunks sent for one request, so that a far zone doesn't wait a round trip for each.
     ``fetch_grace_s``: time that a node gives the push before it fetches, with random spread.
     ``first_chunk_bytes``: the first piece is small, so that the asker soon learns how much is coming.
-    ``fetch_timeout_s``: wait for the first piece. For the next ones it grows by what is due over the slowest
-    link that a fleet may have (5 Mbit/s, less its frames), shared by ``fan_out`` askers, at most by
-    ``transfer_wait_s``.
+    ``fetch_timeout_s``: wait for the first piece. For the next ones it grows by what one takes over the
+    slowest link that a fleet may have (5 Mbit/s, less its frames), shared by ``fan_out`` askers.
+    ``fetch_attempts``: how often a peer is asked that sends nothing. One that falls silent in the middle of a
+    transfer is left at once if another peer has what is missing.
     ``peer_rest_s``: how long a peer that didn't answer is left alone while others know as much.
     """
 
@@ -31,7 +32,6 @@
     delta_max_bytes: int = 1 << 20
     fetch_grace_s: float = 0.15
     fetch_timeout_s: float = 0.4
-    transfer_wait_s: float = 3.0
     slowest_link_bytes_s: float = 500_000
     fetch_attempts: int = 2
     peer_rest_s: float = 2.0
--- a/src/springmux/node/gateway/configuration_endpoints.py
+++ b/src/springmux/node/gateway/configuration_endpoints.py
@@ -14,20 +14,22 @@
 
 BASE_VERSION_HEADER = b"if-match"
 PRECONDITION_FAILED = 412
-READ_PROOF_S = 1.0
-"""A state that was the newest this recently may be shown: a change is in force everywhere within 2 s."""
 PROOF_WAIT_S = 0.7
 """Operators' clients give an answer a second."""
 LOOK_S = 0.02
 
 
 class ConfigurationEndpoints:
-    """``GET``, ``PUT`` (whole) and ``PATCH`` (items by name). ``If-Match`` names the version built on."""
+    """``GET``, ``PUT`` (whole) and ``PATCH`` (items by name). ``If-Match`` names the version built on.
 
-    def __init__(self, agent: NodeAgent, driver: AgentDriver, timeout_s: float) -> None:
+    :param proof_s: a state that was the newest this recently may be shown.
+    """
+
+    def __init__(self, agent: NodeAgent, driver: AgentDriver, timeout_s: float, proof_s: float) -> None:
         self._agent = agent
         self._driver = driver
         self._timeout_s = timeout_s
+        self._proof_s = proof_s
 
     async def handle(self, method: str, exchange: ServerExchange) -> Reply:
         """Answer one request."""
@@ -50,9 +52,9 @@
         """Have the leader asked unless there is a recent proof; say whether there is one in time."""
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + PROOF_WAIT_S
-        if self._agent.state_proof_age_s(loop.time()) > READ_PROOF_S:
+        if self._agent.state_proof_age_s(loop.time()) > self._proof_s:
             self._driver.submit(ProofWanted())
-        while self._agent.state_proof_age_s(loop.time()) > READ_PROOF_S:
+        while self._agent.state_proof_age_s(loop.time()) > self._proof_s:
             if loop.time() >= give_up_at:
                 return False
             await asyncio.sleep(LOOK_S)
--- a/src/springmux/node/gateway/control_interface.py
+++ b/src/springmux/node/gateway/control_interface.py
@@ -63,7 +63,9 @@
         self._metrics = metrics
         self._readiness = readiness
         self._engines = EngineEndpoints(agent, driver.submit)
-        self._configuration = ConfigurationEndpoints(agent, driver, settings.order_timeout_s)
+        self._configuration = ConfigurationEndpoints(
+            agent, driver, settings.order_timeout_s, settings.read_proof_s
+        )
         self._rollouts = RolloutEndpoints(settings, agent, driver, rates)
 
     async def handle(self, exchange: ServerExchange) -> None:
--- a/tests/unit/node_gateway/test_configuration_reads.py
+++ b/tests/unit/node_gateway/test_configuration_reads.py
@@ -14,13 +14,14 @@
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.configuration_endpoints import (
     PROOF_WAIT_S,
-    READ_PROOF_S,
     ConfigurationEndpoints,
 )
 from springmux.node.gateway.replies import Reply
+from springmux.node.gateway.settings import GatewaySettings
 from springmux.node.http.types import ServerExchange
 from tests.unit.node_gateway.scripted_engines import now, play
 
+READ_PROOF_S = 1.0
 DOCUMENT = b'{"version":7}'
 
 
@@ -51,7 +52,7 @@
 
 
 async def _read(agent: StandInAgent) -> Reply:
-    endpoints = ConfigurationEndpoints(cast(NodeAgent, agent), cast(AgentDriver, agent), 4.0)
+    endpoints = ConfigurationEndpoints(cast(NodeAgent, agent), cast(AgentDriver, agent), 4.0, READ_PROOF_S)
     return await endpoints.handle("GET", cast(ServerExchange, None))
 
 
@@ -114,3 +115,32 @@
         assert agent.events == []
 
     play(story())
+
+
+@pytest.mark.parametrize("change_in_force_ms", [200, 500, 2000, 3000])
+def test_a_proof_is_younger_than_a_change_may_take_to_be_in_force(change_in_force_ms: float) -> None:
+    """Given any deployment's time, an older state is shown to nobody who reads after it."""
+    settings = GatewaySettings(
+        node="n",
+        zone="z",
+        host="127.0.0.1",
+        front_address="127.0.0.1:1",
+        ready_address="127.0.0.1:2",
+        control_address="127.0.0.1:3",
+        peer_port=4,
+        change_in_force_ms=change_in_force_ms,
+    )
+    assert 0 < settings.read_proof_s < change_in_force_ms / 1000.0
+
+
+def test_the_interface_takes_the_settings_proof() -> None:
+    """Given a proof between two deployments' bounds, the one with the longer bound shows the document."""
+
+    async def story() -> None:
+        for proof_s, status in ((0.25, 503), (1.0, 200)):
+            agent = StandInAgent(proven_at=now() - 0.5)
+            endpoints = ConfigurationEndpoints(cast(NodeAgent, agent), cast(AgentDriver, agent), 4.0, proof_s)
+            reply = await endpoints.handle("GET", cast(ServerExchange, None))
+            assert reply.status == status
+
+    play(story())
