Membership: a node declares a death only if most of its own probes succeeded

may_declare_death let half be enough, against its own docstring: nodes that are cut off with a few others reach these and held nodes outside for dead.

--- a/src/springmux/coordination/membership/suspicion.py
+++ b/src/springmux/coordination/membership/suspicion.py
@@ -51,7 +51,7 @@
     def may_declare_death(self, suspected_at: float) -> bool:
         """Tell whether most own probes since ``suspected_at`` succeeded; if not, this node may be cut off."""
         outcomes = [succeeded for when, succeeded in self._outcomes if when >= suspected_at]
-        return bool(outcomes) and 2 * outcomes.count(False) <= len(outcomes)
+        return 2 * outcomes.count(False) < len(outcomes)
 
     def reset_after_pause(self) -> None:
         """Forget outcomes that the own pause spoiled, and doubt oneself for a while."""
