Usage: a collector's totals go once to each zone and are passed on inside it

Change: one message to each other zone of four nodes or more, with what each receiver's own reports it holds; another node of the zone passes it on each round, so that one that is gone costs its zone one round. Totals carry their collector's life and a number; older ones that come late are dropped.

The quota scenarios at 90 nodes now run over six zones, so through relays.

--- a/src/springmux/coordination/usage/collector.py
+++ b/src/springmux/coordination/usage/collector.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 from springmux.coordination.usage.bucket import Bucket, Standing
-from springmux.coordination.usage.engine_loads import IDLE, EngineLoads, Load
+from springmux.coordination.usage.engine_loads import IDLE, EngineLoads, Load, rounded
 from springmux.coordination.usage.events import UsageSettings
 from springmux.coordination.usage.messages import AccountTotal, EngineLoad
 
@@ -63,7 +63,7 @@
             load = sums.get(engine, IDLE)
             told, at = self._told_engines.get(engine, (IDLE, 0.0))
             if load != told or now - at >= self._settings.engine_refresh_s:
-                due.append(EngineLoad(engine, *load))
+                due.append(rounded(engine, load))
                 self._told_engines[engine] = (load, now)
                 if load == IDLE and told == IDLE:
                     del self._told_engines[engine]
--- a/src/springmux/coordination/usage/contact.py
+++ b/src/springmux/coordination/usage/contact.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from springmux.coordination.identifiers import NodeId
+from springmux.coordination.identifiers import NodeId, ZoneName
 from springmux.coordination.kernel import NEVER
 from springmux.coordination.membership.view import MembershipView
 from springmux.coordination.rendezvous import first_holders
@@ -43,6 +43,8 @@
         self._settings = settings
         self.present: tuple[NodeId, ...] = (own,)
         self.collectors: tuple[NodeId, ...] = ()
+        self.zones: dict[ZoneName, tuple[NodeId, ...]] = {}
+        """The present nodes by zone."""
         self.peers: dict[NodeId, Peer] = {}
         self._anchor = 1
         self._anchor_until = -NEVER
@@ -66,6 +68,7 @@
     def change_members(self, view: MembershipView, now: float) -> None:
         """Take the present nodes."""
         self.present = tuple(record.node for record in view.present()) or (self._own,)
+        self.zones = _by_zone(view)
         size = len(self.present)
         if size >= self._anchor or (now > self._anchor_until and size * 2 > self._anchor):
             self._anchor, self._anchor_until = size, now + self._settings.anchor_s
@@ -208,3 +211,10 @@
             for node in self.present
             if (peer := self.peers.get(node)) is not None and OWED_S < now - peer.owes_since < OWED_LONGEST_S
         }
+
+
+def _by_zone(view: MembershipView) -> dict[ZoneName, tuple[NodeId, ...]]:
+    zones: dict[ZoneName, list[NodeId]] = {}
+    for record in view.present():
+        zones.setdefault(record.zone, []).append(record.node)
+    return {zone: tuple(nodes) for zone, nodes in zones.items()}
--- a/src/springmux/coordination/usage/engine_loads.py
+++ b/src/springmux/coordination/usage/engine_loads.py
@@ -14,6 +14,12 @@
 IDLE: Load = (0.0, 0.0)
 
 
+def rounded(engine: str, load: Load) -> EngineLoad:
+    """Return a load as it is told: whole figures take a third of the bytes."""
+    requests, prompt_tokens = load
+    return EngineLoad(engine, round(requests), round(prompt_tokens))
+
+
 class EngineLoads:
     """Own present loads and the last ones of each other node (or collector)."""
 
@@ -50,7 +56,7 @@
                 self._own.pop(engine, None)
             else:
                 self._told[engine] = (load, now)
-        return tuple(EngineLoad(engine, *self._own.get(engine, IDLE)) for engine in due)
+        return tuple(rounded(engine, self._own.get(engine, IDLE)) for engine in due)
 
     def hear(self, source: NodeId, loads: Iterable[EngineLoad], now: float) -> None:
         """Take another node's loads."""
--- a/src/springmux/coordination/usage/messages.py
+++ b/src/springmux/coordination/usage/messages.py
@@ -1,9 +1,13 @@
-"""Peer messages of the usage exchange. Figures are cumulative, so that loss makes nothing wrong for long."""
+"""Peer messages of the usage exchange. Figures are cumulative, so that loss makes nothing wrong for long.
+
+They are the most frequent messages of a busy fleet, so they have short tags on the wire.
+"""
 
 from __future__ import annotations
 
 import msgspec
 
+from springmux.coordination.identifiers import NodeId
 from springmux.coordination.kernel import PeerMessage
 
 
@@ -29,7 +33,7 @@
     prompt_tokens: float
 
 
-class UsageReport(PeerMessage, frozen=True):
+class UsageReport(PeerMessage, frozen=True, tag="use"):
     """Accounts and engines that changed at the sender. ``incarnation`` is drawn anew at each start.
 
     An empty one is an answer: the sender is there and has nothing new.
@@ -49,13 +53,30 @@
     demand: int
 
 
-class UsageTotals(PeerMessage, frozen=True):
-    """A collector's sums. ``included``: sequence of the receiver's last report that they hold, 0 if none."""
+class UsageTotals(PeerMessage, frozen=True, tag="sum"):
+    """A collector's sums. ``included``: sequence of the receiver's last report that they hold, 0 if none.
+
+    ``incarnation`` and ``number``: the collector's life, and a number that rises with each of its totals.
+    """
 
     included: int
     accounts: tuple[AccountTotal, ...] = ()
     engines: tuple[EngineLoad, ...] = ()
+    collector: NodeId = NodeId("")
+    incarnation: int = 0
+    number: int = 0
+
+    def holding(self, sequence: int) -> UsageTotals:
+        """Return the same sums for the node whose reports they hold up to ``sequence``."""
+        return msgspec.structs.replace(self, included=sequence)
+
+
+class ZoneTotals(PeerMessage, frozen=True, tag="zone-sum"):
+    """Totals for a whole zone: its receiver passes them on to ``receivers``, each with its ``included``."""
+
+    totals: UsageTotals
+    receivers: tuple[tuple[NodeId, int], ...]
 
 
-MESSAGES: tuple[type[PeerMessage], ...] = (UsageReport, UsageTotals)
+MESSAGES: tuple[type[PeerMessage], ...] = (UsageReport, UsageTotals, ZoneTotals)
 """Fleet-wide usage exchange. Pure."""
--- a/src/springmux/coordination/usage/part.py
+++ b/src/springmux/coordination/usage/part.py
@@ -17,7 +17,14 @@
     UsageMembersChanged,
     UsageSettings,
 )
-from springmux.coordination.usage.messages import AccountUse, EngineLoad, UsageReport, UsageTotals
+from springmux.coordination.usage.messages import (
+    AccountUse,
+    EngineLoad,
+    UsageReport,
+    UsageTotals,
+    ZoneTotals,
+)
+from springmux.coordination.usage.zone_relay import NewestTotals, send_each, tell_all
 
 INCARNATION_BITS = 32
 """Incarnations are random numbers that take five bytes on the wire."""
@@ -49,8 +56,8 @@
         self._next_report = NEVER
         self._last_report = -NEVER
         self._next_totals = NEVER
-        self._included: dict[NodeId, int] = {}
-        self._others: dict[str, tuple[float, float]] = {}
+        self._totals_number = 0
+        self._newest_totals = NewestTotals()
         self._now = 0.0
 
     def admit(self, account: str, tokens: float, now: float) -> float | None:
@@ -155,9 +162,18 @@
             case UsageReport():
                 return self._receive_report(sender, message, now)
             case UsageTotals():
-                self._receive_totals(sender, message, now)
+                self._receive_totals(message, now)
+            case ZoneTotals():
+                return self._pass_on(message, now)
         return []
 
+    def _pass_on(self, message: ZoneTotals, now: float) -> list[Effect]:
+        """Take the own totals and send the others theirs."""
+        for node, sequence in message.receivers:
+            if node == self._own:
+                self._receive_totals(message.totals.holding(sequence), now)
+        return send_each(message.totals, tuple(entry for entry in message.receivers if entry[0] != self._own))
+
     def _receive_report(self, sender: NodeId, report: UsageReport, now: float) -> list[Effect]:
         was_silent = sender in self._contact.standing(now).silent
         after_gap = was_silent or self._contact.has_gap(sender, now)
@@ -200,8 +216,8 @@
                 bucket.hear_use(sender, use, standing, after_gap, now)
                 self._collector.note(use.account, now)
 
-    def _receive_totals(self, sender: NodeId, totals: UsageTotals, now: float) -> None:
-        if sender not in self._contact.collectors:
+    def _receive_totals(self, totals: UsageTotals, now: float) -> None:
+        if totals.collector not in self._contact.collectors or not self._newest_totals.take(totals):
             return
         self._contact.heard_totals(now)
         if self._contact.is_collector:
@@ -211,7 +227,7 @@
             bucket = self._bucket(total.account, now)
             if bucket is not None:
                 bucket.hear_total(total, totals.included, standing, now)
-        self._loads.hear_sums(sender, totals.engines, now)
+        self._loads.hear_sums(totals.collector, totals.engines, now)
 
     def _tick(self, now: float) -> list[Effect]:
         self._look_at_clock(now)
@@ -293,8 +309,6 @@
         engines = self._collector.due_engines(self._loads, now)
         if not self._collector.is_worth_telling(bool(accounts or engines), now):
             return []
-        return [
-            Send(node, UsageTotals(contact.peers[node].sequence, accounts, engines))
-            for node in contact.present
-            if node != self._own
-        ]
+        self._totals_number += 1
+        totals = UsageTotals(0, accounts, engines, self._own, self._incarnation, self._totals_number)
+        return tell_all(totals, contact.zones, self._own, lambda node: contact.peers[node].sequence)
--- a/tests/unit/usage/test_part.py
+++ b/tests/unit/usage/test_part.py
@@ -240,24 +240,34 @@
     return node, collectors
 
 
+def told(
+    collector: NodeId,
+    number: int,
+    included: int = 0,
+    accounts: tuple[AccountTotal, ...] = (),
+    engines: tuple[EngineLoad, ...] = (),
+) -> UsageTotals:
+    return UsageTotals(included, accounts, engines, collector, 7, number)
+
+
 def test_above_24_nodes_reports_go_to_two_collectors() -> None:
     node, collectors = collecting_part()
-    node.handle(MessageReceived(collectors[0], UsageTotals(0)), WARM)
+    node.handle(MessageReceived(collectors[0], told(collectors[0], 1)), WARM)
     node.admit("t", 100.0, WARM)
     assert [to for to, _ in reports(node.handle(Tick(), WARM))] == list(collectors)
 
 
 def test_totals_set_the_level_less_what_they_do_not_hold_yet() -> None:
     node, collectors = collecting_part()
-    node.handle(MessageReceived(collectors[0], UsageTotals(0)), WARM)
+    node.handle(MessageReceived(collectors[0], told(collectors[0], 1)), WARM)
     node.admit("t", 100.0, WARM)
     node.handle(Tick(), WARM)
     node.admit("t", 50.0, WARM + 0.1)
     total = AccountTotal("t", 400, 0)
-    node.handle(MessageReceived(collectors[0], UsageTotals(1, (total,))), WARM + 0.1)
+    node.handle(MessageReceived(collectors[0], told(collectors[0], 2, 1, (total,))), WARM + 0.1)
     assert node.admit("t", 349.0, WARM + 0.1) is None
     stranger = NodeId("n99")
-    node.handle(MessageReceived(stranger, UsageTotals(1, (AccountTotal("t", 1200, 0),))), WARM + 0.1)
+    node.handle(MessageReceived(stranger, told(stranger, 3, 1, (AccountTotal("t", 1200, 0),))), WARM + 0.1)
     assert node.admit("t", 1100.0, WARM + 0.1) is not None
 
 
@@ -266,5 +276,5 @@
     node.note_engine_load("e1", 2.0, 300.0)
     node.handle(Tick(), WARM)
     sums = (EngineLoad("e1", 5.0, 700.0), EngineLoad("e2", 1.0, 9.0))
-    node.handle(MessageReceived(collectors[0], UsageTotals(1, (), sums)), WARM)
+    node.handle(MessageReceived(collectors[0], told(collectors[0], 1, 1, (), sums)), WARM)
     assert node.other_engine_loads() == {"e1": (3.0, 400.0), "e2": (1.0, 9.0)}
--- a/tests/unit/usage/world.py
+++ b/tests/unit/usage/world.py
@@ -28,6 +28,8 @@
 ACCOUNT = "t0"
 LOSS = 0.01
 DELAY_S = (0.001, 0.003)
+LARGEST_SMALL_FLEET = 24
+"""Up to here nodes report to each other."""
 WARM_S = 2.0
 """Nodes run for this long before the load begins."""
 SIZES = ((400, 0.3), (2_000, 0.3), (4_000, 0.25), (12_000, 0.1), (20_000, 0.05))
@@ -64,6 +66,8 @@
     seed: int
     limits: dict[str, AccountLimit] = field(default_factory=lambda: {ACCOUNT: AccountLimit(RATE, BURST)})
     controllers: int = 3
+    zones: int = 6
+    """Of a fleet that needs collectors; a smaller one is in one zone."""
 
     def __post_init__(self) -> None:
         self.random = random.Random(self.seed)
@@ -77,6 +81,7 @@
         self.side: dict[int, int] = {}
         self.requests: list[Request] = []
         self.bytes: Counter[str] = Counter()
+        self.bytes_between_zones: Counter[str] = Counter()
         self.messages: Counter[str] = Counter()
         self.lossy = LOSS
         for node in range(self.size):
@@ -85,13 +90,16 @@
     def name(self, node: int) -> NodeId:
         return NodeId(f"node-{node:02}")
 
+    def zone(self, node: int) -> ZoneName:
+        return ZoneName(f"z{node % self.zones}" if self.size > LARGEST_SMALL_FLEET else "z")
+
     def view(self, own: int, present: Iterable[int]) -> MembershipView:
         nodes = {}
         for node in present:
             name = self.name(node)
             replica = ReplicaId(f"r{node}") if node < self.controllers else None
             where = Address("h:1")
-            nodes[name] = NodeRecord(name, ZoneName("z"), where, where, where, replica=replica)
+            nodes[name] = NodeRecord(name, self.zone(node), where, where, where, replica=replica)
         return MembershipView(self.name(own), nodes)
 
     def start(self, node: int) -> None:
@@ -117,6 +125,8 @@
             data = wire.encode(Term(7), self.name(0), Revision(1234), effect.message)
             kind = type(effect.message).__name__
             self.bytes[kind] += len(data)
+            if self.zone(sender) != self.zone(to):
+                self.bytes_between_zones[kind] += len(data)
             self.messages[kind] += 1
             cut = self.side.get(sender, 0) != self.side.get(to, 0)
             if cut or self.random.random() < self.lossy:
