--- a/tests/unit/bad_days/test_quota_faults.py
+++ b/tests/unit/bad_days/test_quota_faults.py
@@ -18,10 +18,10 @@
 CUT_S = 10.0
 
 
-def _rounds(world: World, fault: Callable[[int], None]) -> None:
-    for number in range(ROUNDS):
+def _rounds(world: World, fault: Callable[[int], None], period_s: float = PERIOD_S) -> None:
+    for number in range(round(ROUNDS * PERIOD_S / period_s)):
         for node in range(NODES):
-            at = SWELL_AT + (number + 1) * PERIOD_S
+            at = SWELL_AT + (number + 1) * period_s
             world.at(at, lambda node=node: fault(node))  # type: ignore[misc]
 
 
@@ -29,6 +29,10 @@
     _rounds(world, world.start)
 
 
+def all_restart_each_second(world: World) -> None:
+    _rounds(world, world.start, 1.0)
+
+
 def all_freeze_each_two_seconds(world: World) -> None:
     def freeze(node: int) -> None:
         world.frozen.add(node)
@@ -55,6 +59,10 @@
     assert excess(faults) <= 0.0
 
 
+def test_the_quota_holds_while_all_nodes_restart_each_second() -> None:
+    assert excess(all_restart_each_second) <= 0.0
+
+
 def test_the_checker_sees_nodes_that_start_with_a_whole_bucket(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(FleetContact, "_is_starting", lambda contact, now: False)
     assert excess(all_restart_each_two_seconds) > 0.0
