Soak: undisturbed nodes serve, or the run has a finding

A node that refuses every proper request (429, 5xx, no connection) for more than the contact time, while neither it nor the core is disturbed and it isn't stopping, breaks the new rule available, once a life. A proper request is one that every version that may be in force allows.

--- a/src/springmux/lab/soak/callers.py
+++ b/src/springmux/lab/soak/callers.py
@@ -49,6 +49,7 @@
             try:
                 connection = await CallerConnection.open(self._node.host, FRONT_PORT, CONNECT_TIMEOUT_S)
             except OSError:
+                self._judge.unreachable(self._node, time.monotonic())
                 await asyncio.sleep(RECONNECT_S)
                 continue
             try:
--- a/src/springmux/lab/soak/findings.py
+++ b/src/springmux/lab/soak/findings.py
@@ -20,6 +20,8 @@
     """An acknowledged configuration stays, of two on one version one wins, a valid one is taken."""
     ANSWERED = "answered"
     """A request that a process has read is answered, though the process is asked to stop."""
+    AVAILABLE = "available"
+    """Undisturbed nodes serve proper requests."""
     ONCE = "once"
     """Engines run a request once at most, and not at all if it was refused."""
     END = "end"
--- a/src/springmux/lab/soak/judge.py
+++ b/src/springmux/lab/soak/judge.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from springmux.lab.soak.availability import AvailabilityWatch
 from springmux.lab.soak.configurations import UNKNOWN_KEY, UNKNOWN_ROUTE
 from springmux.lab.soak.findings import Findings, Rule
 from springmux.lab.soak.history import ConfigurationHistory
@@ -16,6 +17,8 @@
 """From seeing a version's effect until no request that is sent may be handled by an older one."""
 LOSS_SLACK_S = 0.2
 """A request that crosses the close of its connection may end unanswered this long after it was sent."""
+SERVED = 200
+LEAST_FAILURE = 500
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
 """Promise that the request has not run and never will."""
 
@@ -39,6 +42,7 @@
         self._history = history
         self._nodes = nodes
         self._findings = findings
+        self._available = AvailabilityWatch(findings)
         self._seen: dict[tuple[int, int], list[tuple[float, int]]] = {}
         self.refused: list[str] = []
         """Ids of requests that were refused: no engine may run them, then or later."""
@@ -53,6 +57,7 @@
         self._findings.count(f"status {answer.status}")
         if answer.status in REFUSED_STATUSES:
             self.refused.append(asked.request)
+        self._judge_service(asked, answer.status, now)
         outcome = _outcome(answer)
         if outcome is None:
             return
@@ -71,6 +76,23 @@
         if least > seen:
             self._seen.setdefault((asked.node.number, asked.life), []).append((now, least))
 
+    def _judge_service(self, asked: AskedRequest, status: int, now: float) -> None:
+        if status == SERVED:
+            self._available.served(asked.node)
+        elif (status in REFUSED_STATUSES or status >= LEAST_FAILURE) and self._is_proper(asked, now):
+            self._findings.count("proper request refused")
+            self._available.refused(asked.node, asked.undisturbed, asked.sent_at, f"status {status}")
+
+    def _is_proper(self, asked: AskedRequest, now: float) -> bool:
+        """Whether every version that may be in force has the request's route and key."""
+        due = self._history.newest_acknowledged(asked.sent_at - IN_FORCE_S)
+        outcomes = {version.outcome(asked.path, asked.key) for version in self._history.possible(due, now)}
+        return bool(outcomes) and not outcomes & {UNKNOWN_KEY, UNKNOWN_ROUTE}
+
+    def unreachable(self, node: SoakNode, now: float) -> None:
+        """Judge a connection that a node didn't take."""
+        self._available.refused(node, self._nodes.is_undisturbed(node, now), now, "no connection")
+
     def unanswered(self, asked: AskedRequest, ran: int, now: float) -> None:
         """Judge a connection that ended, or was given up, after a request was sent and before its answer."""
         self._findings.count("connection ended")
--- a/tests/unit/lab/test_soak.py
+++ b/tests/unit/lab/test_soak.py
@@ -9,6 +9,7 @@
 
 from springmux.control.commands import ApplyGateway, Outcome
 from springmux.control.gateway_section import GatewaySection
+from springmux.lab.soak.availability import REFUSING_S
 from springmux.lab.soak.configurations import (
     MOVING_PATH,
     SERVICES,
@@ -177,3 +178,48 @@
     court = Court(tmp_path)
     court.answer(MOVING_PATH, NEW_KEY, 11.0, 503)
     assert court.judge.refused == ["request-11.0"]
+
+
+def refusals(court: Court, begin: float, end: float, status: int = 503, step_s: float = 0.1) -> list[Rule]:
+    """Have the node answer a proper request with ``status`` each ``step_s``."""
+    at = begin
+    found: list[Rule] = []
+    while at < end:
+        found = court.answer(numbered_path(1), NEW_KEY, at, status)
+        at += step_s
+    return found
+
+
+@pytest.mark.parametrize("status", [429, 500, 502, 503])
+def test_a_node_that_refuses_everything_undisturbed_is_found_once(tmp_path: Path, status: int) -> None:
+    begin = LATE_S + 1.0
+    assert refusals(Court(tmp_path), begin, begin + 3 * REFUSING_S, status) == [Rule.AVAILABLE]
+
+
+def test_a_node_that_serves_now_and_then_is_not_found(tmp_path: Path) -> None:
+    court = Court(tmp_path)
+    at = LATE_S + 1.0
+    for _ in range(10):
+        assert refusals(court, at, at + 0.8 * REFUSING_S) == []
+        at += 0.8 * REFUSING_S
+        body = SERVICES[0].encode()
+        assert court.answer(numbered_path(1), NEW_KEY, at, 200, body) == []
+        at += 0.1
+
+
+def test_disturbed_and_stopping_nodes_and_improper_requests_may_be_refused(tmp_path: Path) -> None:
+    begin = LATE_S + 1.0
+    assert refusals(Court(tmp_path, undisturbed=False), begin, begin + 3 * REFUSING_S) == []
+    stopping = Court(tmp_path)
+    stopping.node.stopping = True
+    assert refusals(stopping, begin, begin + 3 * REFUSING_S) == []
+    court = Court(tmp_path)
+    for number in range(100):
+        assert court.answer(numbered_path(1), OLD_KEY, begin + number / 10, 503) == []
+
+
+def test_a_node_that_takes_no_connection_undisturbed_is_found(tmp_path: Path) -> None:
+    court = Court(tmp_path)
+    for number in range(100):
+        court.judge.unreachable(court.node, 20.0 + number / 10)
+    assert [finding.rule for finding in court.findings.found] == [Rule.AVAILABLE]
