Read again: checks that could not fail, a mutation check as strict as it was

The name of the byte test said a tenth where its bound is a quarter, which a tenth fails; the bound stays.

test_seeds: the mutation check asked that one of five seeds isn't found. With the whole fleet asked for, the one seed it had before is enough again, as before.

Soak: one constant for a served status.

--- a/src/springmux/lab/soak/judge.py
+++ b/src/springmux/lab/soak/judge.py
@@ -121,6 +121,6 @@
 
 def _outcome(answer: Answer) -> str | None:
     """Return what an answer says of the configuration; ``None`` if it says nothing."""
-    if answer.status == 200:
+    if answer.status == SERVED:
         return answer.body.decode("latin-1")
     return {404: UNKNOWN_ROUTE, 401: UNKNOWN_KEY}.get(answer.status)
--- a/tests/unit/simulation/test_seeds.py
+++ b/tests/unit/simulation/test_seeds.py
@@ -17,8 +17,8 @@
 WHOLE_AFTER_S = 0.5
 
 
-def restarted(node: NodeId, seeds: tuple[Address, ...], down_s: float, seed: int = 1) -> Site:
-    site = Site(SITE_A, seed)
+def restarted(node: NodeId, seeds: tuple[Address, ...], down_s: float) -> Site:
+    site = Site(SITE_A, 1)
     site.found()
     site.world.run_for(3.0)
     site.world.apply(Kill(at=site.world.now, node=node))
@@ -65,8 +65,7 @@
     monkeypatch.setattr(PeerList, "load", lambda peer_list: ())
     monkeypatch.setattr(MembershipPart, "_ask_absent_seed", ask_no_absent_seed)
     node = NodeId("z1-1")
-    # In a small fleet the others' pings alone may introduce enough nodes in time.
-    assert not all(found_and_whole(restarted(node, (), 0.6, seed), node) for seed in range(1, 6))
+    assert not found_and_whole(restarted(node, (), 0.6), node)
 
 
 def test_a_node_that_is_its_only_seed_and_alone_founds_nothing_and_serves_nothing() -> None:
--- a/tests/unit/usage/test_zone_relay.py
+++ b/tests/unit/usage/test_zone_relay.py
@@ -4,6 +4,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from springmux.coordination.identifiers import Address, NodeId, ReplicaId, ZoneName
@@ -11,10 +12,10 @@
 from springmux.coordination.membership.view import MembershipView, NodeRecord
 from springmux.coordination.usage import part as usage_part
 from springmux.coordination.usage.events import AccountLimit, AccountLimitsChanged, UsageMembersChanged
-from springmux.coordination.usage.messages import EngineLoad, UsageReport, UsageTotals, ZoneTotals
+from springmux.coordination.usage.messages import EngineLoad, UsageTotals, ZoneTotals
 from springmux.coordination.usage.part import UsagePart
 from springmux.coordination.usage.zone_relay import send_each, tell_all
-from tests.unit.usage.world import ACCOUNT, RATE, USUAL, WARM_S, Load, World
+from tests.unit.usage.world import RATE, USUAL, WARM_S, Load, World
 
 ZONES = {ZoneName(f"z{zone}"): tuple(NodeId(f"z{zone}-{n}") for n in range(10)) for zone in range(3)}
 OWN = NodeId("z0-0")
@@ -115,7 +116,7 @@
     return world
 
 
-def test_bytes_between_zones_are_a_tenth_of_those_of_a_message_to_each_node(
+def test_bytes_between_zones_are_under_a_quarter_of_those_of_a_message_to_each_node(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     relayed = under_load(3)
@@ -133,9 +134,8 @@
     assert between < 0.25 * direct.bytes_between_zones["UsageTotals"]
 
 
-@pytest.mark.parametrize("seed", range(1, 4))
-def test_a_zone_whose_nodes_are_partly_gone_is_told_all_the_same(seed: int) -> None:
-    """A third of a zone dies at once; until membership notices, the rest keeps its part of the quota."""
+def refused_beside_the_dead(seed: int) -> tuple[World, float]:
+    """Let a third of a zone die at once; return the part that the rest of it refuses of a tenant's usual."""
     world = World(90, seed)
     zone = [node for node in range(90) if world.zone(node) == "z5"]
     dead, alive = zone[::3], [node for node in zone if node not in zone[::3]]
@@ -148,7 +148,23 @@
     world.run(8.0)
     refused, admitted = world.refused(4.0, 8.0), world.admitted(4.0, 8.0)
     assert admitted > 0.0
-    assert refused <= 0.1 * (refused + admitted)
+    return world, refused / (refused + admitted)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_zone_whose_nodes_are_partly_gone_is_told_all_the_same(seed: int) -> None:
+    """Until membership notices the dead, the rest keeps its part of the quota."""
+    world, refused = refused_beside_the_dead(seed)
+    assert refused <= 0.1
     assert world.excess() <= 0.1 * (8 * RATE + 112_000.0) + 190_000.0
-    assert ACCOUNT in world.limits
-    assert any(isinstance(message, str) and message == UsageReport.__name__ for message in world.messages)
+
+
+def test_the_check_sees_a_zone_that_is_always_told_through_the_same_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        usage_part,
+        "tell_all",
+        lambda totals, *rest: tell_all(msgspec.structs.replace(totals, number=0), *rest),
+    )
+    assert refused_beside_the_dead(1)[1] > 0.1
