Directory log and metrics: tell a lost engine from a draining one that is lost

Change: directory_status carries draining and lost beside the status, and gateway_lost_engine_attempts_total counts attempts at engines whose heartbeats stopped.

--- a/src/springmux/agent/directory/engine_directory.py
+++ b/src/springmux/agent/directory/engine_directory.py
@@ -194,7 +194,7 @@
         """Record a new drain; apply a stop that was buffered for this incarnation."""
         engine, incarnation = entry.record.engine, entry.record.incarnation
         same_incarnation = before is not None and before.record.incarnation == incarnation
-        if entry.intent % 2 and (before is None or not same_incarnation or before.intent < entry.intent):
+        if entry.draining and (before is None or not same_incarnation or before.intent < entry.intent):
             self._stops.record_drain(engine, now)
         early_stop = None if same_incarnation else self._stops.pop(engine, incarnation, now)
         return [] if early_stop is None else self._apply_local_change(stop_entry(entry, early_stop.left), now)
--- a/src/springmux/agent/directory/engine_monitor.py
+++ b/src/springmux/agent/directory/engine_monitor.py
@@ -67,7 +67,7 @@
             if entry is None or entry.record.incarnation != incarnation_id.incarnation or entry.left:
                 continue
             self._heartbeats.record(incarnation_id, now)
-            if entry.health % 2:
+            if entry.lost:
                 result.changes.append(_health_changed(entry))
         return result
 
@@ -83,7 +83,7 @@
         for engine in self._heartbeats.unresponsive(now)[: self._settings.votes_per_message]:
             entry = self._table.get(engine)
             owners = self._owners.owners_of(engine)
-            if entry is None or entry.left or entry.health % 2 or self._own not in owners:
+            if entry is None or entry.left or entry.lost or self._own not in owners:
                 self._heartbeats.forget(engine)
                 continue
             incarnation_id = wire.EngineIncarnation(engine, entry.record.incarnation)
@@ -106,7 +106,7 @@
         unresponsive = set(self._heartbeats.unresponsive(now))
         for incarnation_id in incarnations:
             entry = self._table.get(incarnation_id.engine)
-            if entry is None or entry.record.incarnation != incarnation_id.incarnation or entry.health % 2:
+            if entry is None or entry.record.incarnation != incarnation_id.incarnation or entry.lost:
                 continue
             if incarnation_id.engine in unresponsive and sender in self._owners.owners_of(
                 incarnation_id.engine
--- a/src/springmux/agent/directory/entry.py
+++ b/src/springmux/agent/directory/entry.py
@@ -27,14 +27,24 @@
     health: int = 0
     left: bool = False
 
+    @property
+    def draining(self) -> bool:
+        """Whether the engine said that it is about to stop."""
+        return self.intent % 2 == 1
+
+    @property
+    def lost(self) -> bool:
+        """Whether the engine's heartbeats stopped."""
+        return self.health % 2 == 1
+
     @property
     def status(self) -> EngineStatus:
         """Return the status that follows from the counters."""
         if self.left:
             return EngineStatus.LEFT
-        if self.health % 2:
+        if self.lost:
             return EngineStatus.LOST
-        return EngineStatus.DRAINING if self.intent % 2 else EngineStatus.READY
+        return EngineStatus.DRAINING if self.draining else EngineStatus.READY
 
     def published(self) -> EngineRecord:
         """Return the record for readers; its ``sequence`` increases with every change."""
@@ -73,8 +83,7 @@
 
     Only an announcement reverts a drain; both revert LOST.
     """
-    was_draining = known.intent % 2 == 1
-    intent_changed = draining != was_draining and (draining or announced)
+    intent_changed = draining != known.draining and (draining or announced)
     # A sequence that only counts heartbeats is not a change: only changes of other fields are relayed.
     same_fields = (
         msgspec.structs.replace(with_status_ready(record), sequence=known.record.sequence) == known.record
@@ -83,11 +92,11 @@
     return DirectoryEntry(
         record=with_status_ready(record) if newer else known.record,
         intent=known.intent + int(intent_changed),
-        health=known.health + known.health % 2,
+        health=known.health + int(known.lost),
     )
 
 
 def stop_entry(entry: DirectoryEntry, left: bool) -> DirectoryEntry:
     """Return the entry after the engine started draining or left."""
-    intent = entry.intent + 1 - entry.intent % 2
+    intent = entry.intent + int(not entry.draining)
     return msgspec.structs.replace(entry, intent=intent, left=entry.left or left)
--- a/src/springmux/agent/directory/log_lines.py
+++ b/src/springmux/agent/directory/log_lines.py
@@ -13,7 +13,12 @@
     if before is not None and before.status is entry.status:
         return []
     level = LogLevel.WARNING if entry.status is EngineStatus.LOST else LogLevel.INFO
-    fields = {"engine": entry.record.engine, "status": entry.status.value}
+    fields = {
+        "engine": entry.record.engine,
+        "status": entry.status.value,
+        "draining": entry.draining,
+        "lost": entry.lost,
+    }
     return [LogLine("directory_status", level, fields)]
 
 
--- a/src/springmux/gateway/refusals.py
+++ b/src/springmux/gateway/refusals.py
@@ -58,13 +58,14 @@
 
     ``requests``: requests whose head was read. ``dispatches``: attempts at engines. ``retries``: attempts
     after one that was sent. ``resumed``: attempts that continue a stream whose beginning was already sent to
-    the client.
+    the client. ``lost_engine_attempts``: attempts at engines whose heartbeats stopped.
     """
 
     requests: int = 0
     dispatches: int = 0
     retries: int = 0
     resumed: int = 0
+    lost_engine_attempts: int = 0
     refusals: dict[RefusalReason, int] = {}
 
 
--- a/src/springmux/node/gateway/attempt_loop.py
+++ b/src/springmux/node/gateway/attempt_loop.py
@@ -12,7 +12,7 @@
 from springmux.node.gateway.attempt_result import AttemptResult
 from springmux.node.gateway.backend_choice import choose_service, prefix_key
 from springmux.node.gateway.forwarded_request import ForwardedRequest
-from springmux.vocabulary.engines import EngineRecord
+from springmux.vocabulary.engines import EngineRecord, EngineStatus
 
 
 async def run_attempts(request: ForwardedRequest) -> Refusal | None:
@@ -65,7 +65,9 @@
 async def _attempt(
     request: ForwardedRequest, selection: VersionSelection, record: EngineRecord
 ) -> AttemptResult:
-    request.services.core.counters.dispatches += 1
+    counters = request.services.core.counters
+    counters.dispatches += 1
+    counters.lost_engine_attempts += int(record.status is EngineStatus.LOST)
     request.trace.record_attempt(record.engine)
     result = await Attempt(request, record, selection).run()
     if result.end is AttemptEnd.UNSENT:
--- a/src/springmux/node/gateway/refusal_log.py
+++ b/src/springmux/node/gateway/refusal_log.py
@@ -74,6 +74,7 @@
         ("gateway_dispatches_total",): counters.dispatches,
         ("gateway_retries_total",): counters.retries,
         ("gateway_resumed_total",): counters.resumed,
+        ("gateway_lost_engine_attempts_total",): counters.lost_engine_attempts,
     }
     for reason, count in counters.refusals.items():
         values["gateway_refusals_total", reason.value] = count
--- a/src/springmux/node/metrics/table.py
+++ b/src/springmux/node/metrics/table.py
@@ -78,6 +78,11 @@
     MetricSpec(
         "gateway_resumed_total", _COUNTER, "Streams begun that another engine was asked to go on with."
     ),
+    MetricSpec(
+        "gateway_lost_engine_attempts_total",
+        _COUNTER,
+        "Attempts at engines whose heartbeats stopped, made since no other engine was usable.",
+    ),
     MetricSpec("gateway_refusals_total", _COUNTER, "Requests that the gateway refused or cut.", ("reason",)),
     MetricSpec("ready", _GAUGE, "1 while the node is ready."),
     MetricSpec("control_revision", _GAUGE, "Revision of the control state in force here."),
--- a/tests/unit/node/gateway/test_refusals.py
+++ b/tests/unit/node/gateway/test_refusals.py
@@ -159,7 +159,7 @@
 
 def test_the_metrics_contain_the_current_counters() -> None:
     """Given counters that change after registration, the exposition has their current values."""
-    counters = GatewayCounters(requests=7, dispatches=6, retries=2, resumed=1)
+    counters = GatewayCounters(requests=7, dispatches=6, retries=2, resumed=1, lost_engine_attempts=4)
     metrics = NodeMetrics()
     metrics.add_source(lambda: counter_values(counters))
     counters.refusals[Reason.NO_ENGINE] = 3
@@ -169,6 +169,7 @@
         "springmux_gateway_dispatches_total 6.0",
         "springmux_gateway_retries_total 2.0",
         "springmux_gateway_resumed_total 1.0",
+        "springmux_gateway_lost_engine_attempts_total 4.0",
         'springmux_gateway_refusals_total{reason="no_engine"} 3.0',
     ):
         assert line in lines
