Directory: a drain is not hidden by late heartbeats

Cause: an entry knows whether the engine drains and whether it is lost, but published LOST alone, and lost engines are the last resort of the placement. A crash isn't needed: a full, silent or failing second engine, or one whose address was reused, asks for the last resort as well.

Change: DRAINING goes before LOST in the published status. What depended on the status in its other meaning (hashing, removal, scan of the failure detector) asks for lost and left themselves.

--- a/src/springmux/agent/directory/engine_monitor.py
+++ b/src/springmux/agent/directory/engine_monitor.py
@@ -12,7 +12,6 @@
 from springmux.agent.directory.table import DirectoryTable
 from springmux.coordination.identifiers import NodeId
 from springmux.coordination.state_machine import Effect, Send
-from springmux.vocabulary.engines import EngineStatus
 from springmux.vocabulary.names import EngineId
 
 
@@ -125,7 +124,7 @@
         self._scan_queue = self._scan_queue or self._table.engine_ids()
         for engine in self._scan_queue[: self._settings.scan_engines]:
             entry = self._table.get(engine)
-            if entry is None or entry.status in (EngineStatus.LOST, EngineStatus.LEFT):
+            if entry is None or entry.gone:
                 continue
             if engine not in self._heartbeats and self._own in self._owners.owners_of(engine):
                 self._heartbeats.record(wire.EngineIncarnation(engine, entry.record.incarnation), now)
--- a/src/springmux/agent/directory/entry.py
+++ b/src/springmux/agent/directory/entry.py
@@ -37,14 +37,22 @@
         """Whether the engine's heartbeats stopped."""
         return self.health % 2 == 1
 
+    @property
+    def gone(self) -> bool:
+        """Whether the engine left or is lost. Such entries expire."""
+        return self.left or self.lost
+
     @property
     def status(self) -> EngineStatus:
-        """Return the status that follows from the counters."""
+        """Return the status that follows from the counters.
+
+        DRAINING goes before LOST: a lost engine is used as a last resort, one that said it stops is not.
+        """
         if self.left:
             return EngineStatus.LEFT
-        if self.lost:
-            return EngineStatus.LOST
-        return EngineStatus.DRAINING if self.draining else EngineStatus.READY
+        if self.draining:
+            return EngineStatus.DRAINING
+        return EngineStatus.LOST if self.lost else EngineStatus.READY
 
     def published(self) -> EngineRecord:
         """Return the record for readers; its ``sequence`` increases with every change."""
@@ -81,7 +89,7 @@
 ) -> DirectoryEntry:
     """Return the entry after another announcement or heartbeat of the same incarnation.
 
-    Only an announcement reverts a drain; both revert LOST.
+    Only an announcement reverts a drain; both show that the engine is not lost.
     """
     intent_changed = draining != known.draining and (draining or announced)
     # A sequence that only counts heartbeats is not a change: only changes of other fields are relayed.
--- a/src/springmux/agent/directory/log_lines.py
+++ b/src/springmux/agent/directory/log_lines.py
@@ -4,15 +4,14 @@
 
 from springmux.agent.directory.entry import DirectoryEntry
 from springmux.coordination.state_machine import Effect, LogLevel, LogLine
-from springmux.vocabulary.engines import EngineStatus
 from springmux.vocabulary.names import EngineId
 
 
 def status_log_line(before: DirectoryEntry | None, entry: DirectoryEntry) -> list[Effect]:
-    """Return the log line of a status change; an empty list if the status is the same."""
-    if before is not None and before.status is entry.status:
+    """Return the log line if an engine's status changed, or whether it is lost; else an empty list."""
+    if before is not None and before.status is entry.status and before.lost == entry.lost:
         return []
-    level = LogLevel.WARNING if entry.status is EngineStatus.LOST else LogLevel.INFO
+    level = LogLevel.WARNING if entry.lost and not entry.left else LogLevel.INFO
     fields = {
         "engine": entry.record.engine,
         "status": entry.status.value,
--- a/src/springmux/agent/directory/table.py
+++ b/src/springmux/agent/directory/table.py
@@ -10,13 +10,12 @@
 
 from springmux.agent.directory.entry import DirectoryEntry, merge_entries
 from springmux.agent.directory.settings import DirectorySettings
-from springmux.vocabulary.engines import EngineLoad, EngineRecord, EngineStatus, EnginesView
+from springmux.vocabulary.engines import EngineLoad, EngineRecord, EnginesView
 from springmux.vocabulary.names import EngineId
 
 BUCKETS = 256
 """Number of hash buckets: the hashes take 1 KB, and at 2,900 engines a bucket has about 11 entries (1 KB)."""
 _HASH_BYTES = 4
-GONE_STATUSES = (EngineStatus.LEFT, EngineStatus.LOST)
 
 
 def bucket_of(engine: EngineId) -> int:
@@ -61,7 +60,7 @@
         """Merge ``entry`` into the table; return whether the table changed."""
         engine = entry.record.engine
         known = self._entries.get(engine)
-        if known is None and entry.status in GONE_STATUSES:
+        if known is None and entry.gone:
             return False
         newest = entry if known is None else merge_entries(known, entry)
         if newest == known:
@@ -79,9 +78,9 @@
         self._engines_by_bucket[bucket].add(engine)
         self._entries[engine] = entry
         self._published_records[engine] = entry.published()
-        if entry.status not in GONE_STATUSES:
+        if not entry.gone:
             self._gone_at.pop(engine, None)
-        elif known is None or known.status is not entry.status:
+        elif known is None or (known.left, known.lost) != (entry.left, entry.lost):
             self._gone_at[engine] = now
         self.entries_changed = True
 
@@ -92,11 +91,10 @@
 
     def remove_expired(self, now: float, settings: DirectorySettings) -> list[EngineId]:
         """Remove engines that left or were lost longer ago than the settings allow; return them."""
-        keep_s = {EngineStatus.LEFT: settings.forget_left_s, EngineStatus.LOST: settings.forget_lost_s}
         expired = [
             engine
             for engine, gone_at in self._gone_at.items()
-            if now - gone_at >= keep_s[self._entries[engine].status]
+            if now - gone_at >= _keep_s(self._entries[engine], settings)
         ]
         for engine in expired:
             for mapping in (
@@ -155,7 +153,11 @@
         return self._view
 
 
+def _keep_s(entry: DirectoryEntry, settings: DirectorySettings) -> float:
+    return settings.forget_left_s if entry.left else settings.forget_lost_s
+
+
 def _entry_hash(entry: DirectoryEntry | None) -> int:
-    if entry is None or entry.status in GONE_STATUSES:
+    if entry is None or entry.gone:
         return 0
     return xxhash.xxh32_intdigest(msgspec.msgpack.encode(entry))
--- a/src/springmux/gateway/placement.py
+++ b/src/springmux/gateway/placement.py
@@ -52,7 +52,10 @@
         self._slots_with_reports: list[EngineSlot] = []
 
     def update_engines(self, view: EnginesView, now: float) -> None:
-        """Apply a directory view. Draining engines get no more requests, lost ones only as a last resort."""
+        """Apply a directory view. Draining engines get no more requests, lost ones only as a last resort.
+
+        A draining engine whose heartbeats stopped is listed as draining.
+        """
         self._table.update(view)
 
     def update_services(self, services: Mapping[ServiceName, GatewayService]) -> None:
--- a/src/springmux/vocabulary/engines.py
+++ b/src/springmux/vocabulary/engines.py
@@ -12,7 +12,11 @@
 
 
 class EngineStatus(enum.StrEnum):
-    """Status of a back end. ``LOST``: its heartbeats stopped. ``LEFT``: it announced its end."""
+    """Status of a back end, which decides about new requests.
+
+    ``READY`` back ends get them. ``LOST`` ones, whose heartbeats stopped, get them only as a last resort.
+    ``DRAINING`` ones, lost or not, and those that ``LEFT`` get none: both announced their end.
+    """
 
     READY = "ready"
     DRAINING = "draining"
--- a/tests/unit/agent/directory/test_entry.py
+++ b/tests/unit/agent/directory/test_entry.py
@@ -1,6 +1,7 @@
 """Entries merge into the newest state regardless of the order in which, and how often, they arrive."""
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -45,6 +46,18 @@
     assert merge_entries(draining, announced).status is EngineStatus.READY
 
 
+@pytest.mark.parametrize("intent", range(4))
+@pytest.mark.parametrize("health", range(4))
+def test_status_is_lost_only_if_the_engine_is_not_draining(intent, health):
+    """Guards against requests to a draining engine as a last resort, because LOST hid that it drains."""
+    status = DirectoryEntry(RECORD, intent, health).published().status
+    if intent % 2:
+        assert status is EngineStatus.DRAINING
+    else:
+        assert status is (EngineStatus.LOST if health % 2 else EngineStatus.READY)
+    assert DirectoryEntry(RECORD, intent, health, left=True).published().status is EngineStatus.LEFT
+
+
 def test_heartbeat_changes_the_entry_only_if_fields_other_than_the_sequence_differ():
     known = DirectoryEntry(RECORD)
     counted = msgspec.structs.replace(RECORD, sequence=9)
--- a/tests/unit/agent/directory/test_stops.py
+++ b/tests/unit/agent/directory/test_stops.py
@@ -94,6 +94,22 @@
     )
 
 
+def test_draining_engine_that_is_lost_is_not_taken_where_unknown_and_is_removed_in_time():
+    """Guards against entries of engines that ended without a DELETE and would stay listed as draining."""
+    directory, lost = directory_of(), DirectoryEntry(ENGINE, intent=1, health=1)
+    directory.handle(MessageReceived(PEER.node, wire.DirectoryEntries((lost,))), 1.0)
+    assert status(directory) is None
+    empty_hash = directory._table.root_hash()
+    directory.handle(MessageReceived(PEER.node, wire.DirectoryRelay((DRAINED,), 1)), 2.0)
+    directory.handle(MessageReceived(PEER.node, wire.DirectoryRelay((lost,), 1)), 3.0)
+    assert status(directory) is EngineStatus.DRAINING
+    assert directory._table.root_hash() == empty_hash, "nodes that have removed it must not fetch it again"
+    directory.handle(Tick(), 2.9 + DirectorySettings().forget_lost_s)
+    assert status(directory) is EngineStatus.DRAINING
+    directory.handle(Tick(), 4.0 + DirectorySettings().forget_lost_s)
+    assert status(directory) is None
+
+
 def test_leaving_node_still_relays_to_its_zone():
     directory = directory_of(own=msgspec.structs.replace(OWN, status=NodeStatus.LEFT))
     message = wire.DirectoryRelay((DRAINED,), 1, 0, HASH_END)
--- a/tests/unit/bad_days/test_engine_reports.py
+++ b/tests/unit/bad_days/test_engine_reports.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -16,7 +18,7 @@
 from springmux.agent.directory.entry import DirectoryEntry, refresh_entry
 from springmux.agent.readiness import CUT_OFF, JOINING, STARTING, STOPPING
 from springmux.coordination.identifiers import NodeId
-from springmux.coordination.state_machine import Event
+from springmux.coordination.state_machine import Event, Tick
 from springmux.node.gateway import engine_endpoints
 from springmux.node.gateway.engine_endpoints import EngineEndpoints, HeartbeatBody
 from springmux.vocabulary.engines import EngineRecord, EngineStatus
@@ -30,6 +32,7 @@
 HEARTBEAT_DELAY_S = 0.3
 """Time after the engine's departure at which a heartbeat that it sent earlier arrives."""
 AFTER_TIMEOUT_S = 3.0
+MONITOR_PERIOD_S = 0.1
 REQUESTS_PER_S = 40.0
 SERVICE_S = 0.2
 
@@ -59,6 +62,12 @@
         """Send a DELETE and return the status of the response."""
         return (await self._endpoints.handle("DELETE", engine, RecordingClient(body=b""))).status
 
+    async def monitor_heartbeats(self) -> None:
+        """Let the directory notice missing heartbeats until the task is cancelled."""
+        while True:
+            await asyncio.sleep(MONITOR_PERIOD_S)
+            self._handle_event(Tick())
+
     def _handle_event(self, event: Event) -> None:
         self.directory.handle(event, now())
         for node in self._fleet.nodes:
@@ -130,6 +139,75 @@
     assert attempts_after_it_left(engine_leaves(drains_first=True)) > 0
 
 
+DRAIN_S = 2.0
+"""Time after the acknowledgement in which requests may still reach a draining engine."""
+HEARTBEAT_S = 1.0
+LATE_HEARTBEAT_AT = 9.5
+OTHER_FAILS_AT = 7.5
+LATE_END = 11.0
+OTHER_FAULTS: dict[str, Callable[[ModelEngine], object]] = {
+    "crashes": ModelEngine.crash,
+    "stops responding": ModelEngine.stop_responding,
+    "is full": lambda engine: setattr(engine.behaviour, "slots", 0),
+    "fails requests": lambda engine: setattr(engine.behaviour, "failure_share", 1.0),
+    "loses its address": lambda engine: setattr(engine, "identity", "page-1"),
+}
+
+
+def other_engine_fails_while_a_heartbeat_is_late(fault: str) -> GatewayFleet:
+    """Let e0 drain and its next heartbeat be late; meanwhile e1, the only other engine, has a fault."""
+    fleets: list[GatewayFleet] = []
+
+    async def scenario() -> None:
+        fleet = GatewayFleet(12, engines=0)
+        fleets.append(fleet)
+        reports = EngineReports(fleet)
+        monitor = asyncio.create_task(reports.monitor_heartbeats())
+        for name in ("e0", "e1"):
+            fleet.engine_client.engines[name] = ModelEngine(name, Behaviour(service_s=SERVICE_S))
+        for sequence in range(int(LATE_END / HEARTBEAT_S)):
+            at = sequence * HEARTBEAT_S
+            fleet.schedule_coroutine(at, lambda sequence=sequence: reports.put("e1", sequence))
+            if at < LEAVES_AT:
+                fleet.schedule_coroutine(at, lambda sequence=sequence: reports.put("e0", sequence))
+        for sequence, at in ((20, LEAVES_AT), (21, LATE_HEARTBEAT_AT)):
+            fleet.schedule_coroutine(at, lambda sequence=sequence: reports.put("e0", sequence, "draining"))
+        fleet.generate_load(SETTLED_S, LATE_END, REQUESTS_PER_S)
+        fleet.schedule(OTHER_FAILS_AT, lambda: OTHER_FAULTS[fault](fleet.engine_client.engines["e1"]))
+        await fleet.run(LATE_END + AFTER_TIMEOUT_S)
+        monitor.cancel()
+
+    play(scenario())
+    return fleets[0]
+
+
+def attempts_after_its_drain(fleet: GatewayFleet) -> int:
+    latest = LEAVES_AT + DRAIN_S
+    return sum(name == "e0" and at - fleet.started_at > latest for at, name in fleet.engine_client.attempts)
+
+
+@pytest.mark.parametrize("fault", OTHER_FAULTS)
+def test_a_draining_engine_whose_heartbeat_is_late_is_no_last_resort(fault: str) -> None:
+    """Guards against requests to a draining engine that is taken for lost, once no other is usable."""
+    fleet = other_engine_fails_while_a_heartbeat_is_late(fault)
+    rules.check_safety(fleet)
+    assert attempts_after_its_drain(fleet) == 0
+    assert rules.success_share(fleet, SETTLED_S, OTHER_FAILS_AT - 1.0) == 1.0
+    assert rules.success_share(fleet, OTHER_FAILS_AT + 1.0, LATE_END) < 0.5, "e1 was to be unusable"
+
+
+def test_checker_detects_a_drain_that_is_hidden_by_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    def lost_first(entry: DirectoryEntry) -> EngineStatus:
+        if entry.left:
+            return EngineStatus.LEFT
+        if entry.lost:
+            return EngineStatus.LOST
+        return EngineStatus.DRAINING if entry.draining else EngineStatus.READY
+
+    monkeypatch.setattr(DirectoryEntry, "status", property(lost_first))
+    assert attempts_after_its_drain(other_engine_fails_while_a_heartbeat_is_late("crashes")) > 0
+
+
 def capacity_after_a_late_heartbeat() -> int:
     """Return the listed capacity after a heartbeat with 8 slots and an older, delayed one with 32."""
     capacities: list[int] = []
