Directory: a leave reported where the engine is unknown is relayed

All nodes list an engine as lost, one of them restarts, the engine's DELETE reaches that one and is acknowledged; the others go on listing it as lost, a last resort (DRAIN).

Cause: entries of lost engines aren't taken where they are unknown, so the restarted node doesn't know the engine; it kept the leave for 5 s in case of an announcement and told nobody.

Change: it relays the leave at once, as an entry without a record that loses against any record in a merge.

--- a/src/springmux/agent/directory/engine_directory.py
+++ b/src/springmux/agent/directory/engine_directory.py
@@ -13,7 +13,13 @@
 from springmux.agent.directory.catch_up import CatchUp
 from springmux.agent.directory.effects import EnginesChanged
 from springmux.agent.directory.engine_monitor import EngineMonitor, MonitorResult
-from springmux.agent.directory.entry import DirectoryEntry, refresh_entry, stop_entry, with_status_ready
+from springmux.agent.directory.entry import (
+    DirectoryEntry,
+    departed_entry,
+    refresh_entry,
+    stop_entry,
+    with_status_ready,
+)
 from springmux.agent.directory.forwarding import HeartbeatForwarder
 from springmux.agent.directory.log_lines import outdated_incarnation_log_line, status_log_line
 from springmux.agent.directory.owner_nodes import OwnerNodes
@@ -168,6 +174,9 @@
         known = self._table.get(engine)
         if known is None or known.record.incarnation < stop.incarnation:
             self._stops.buffer(engine, stop, now)
+            if stop.left and stop.incarnation:
+                # Nodes that list the engine as lost know it, although this one is not told of lost engines.
+                self._relay_queue.add(departed_entry(engine, stop.incarnation), now)
             return [LogLine("directory_early_stop", LogLevel.WARNING, {"engine": engine, "left": stop.left})]
         if not stop.applies_to(known.record.incarnation):
             return [outdated_incarnation_log_line(engine, stop.incarnation)]
--- a/src/springmux/agent/directory/entry.py
+++ b/src/springmux/agent/directory/entry.py
@@ -16,7 +16,12 @@
 
 import msgspec
 
+from springmux.coordination.identifiers import Address
 from springmux.vocabulary.engines import EngineRecord, EngineStatus
+from springmux.vocabulary.names import EngineId, ServiceName, VersionName
+
+_OLDEST_SEQUENCE = -1
+"""Lower than the sequence of any record that an engine reports."""
 
 
 class DirectoryEntry(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
@@ -67,6 +72,24 @@
     return msgspec.structs.replace(record, status=EngineStatus.READY)
 
 
+def departed_entry(engine: EngineId, incarnation: int) -> DirectoryEntry:
+    """Return the entry of an engine that left, for a node that doesn't know the engine's record.
+
+    Its record counts as older than any that the engine reports, so that a merge keeps the engine's own. Nodes
+    that don't know the engine ignore the entry, as that of any engine that left.
+    """
+    record = EngineRecord(
+        engine=engine,
+        service=ServiceName(""),
+        version=VersionName(""),
+        address=Address(""),
+        capacity=0,
+        incarnation=incarnation,
+        sequence=_OLDEST_SEQUENCE,
+    )
+    return DirectoryEntry(record=record, intent=1, left=True)
+
+
 def merge_entries(one: DirectoryEntry, other: DirectoryEntry) -> DirectoryEntry:
     """Return the least upper bound of both entries; commutative, associative and idempotent."""
     if one.record.incarnation != other.record.incarnation:
--- a/tests/unit/agent/directory/test_directory_network.py
+++ b/tests/unit/agent/directory/test_directory_network.py
@@ -192,3 +192,25 @@
     name = engines[3].record.engine
     holders = [n.record.node for n in network.nodes.values() if name in n.components["directory"].view.loads]
     assert holders == [network.records[3].node]
+
+
+def test_delete_at_a_restarted_node_that_does_not_know_the_lost_engine_reaches_all_nodes():
+    """Guards against an acknowledged DELETE that is dropped, since restarted nodes know no lost engine."""
+    network, engines = fleet()
+    engine = engines[0]
+    engine.sends_heartbeats = False
+    assert network.run_until(lambda: all_see(network, [engine], EngineStatus.LOST), 10) <= LOST_WITHIN_S
+    network.kill(7)
+    network.run(1)
+    network.start([network.records[7]])
+    assert network.run_until(network.all_alive, 20) < 20
+    network.run(2)
+    assert network.node(7).engine_status(engine.record.engine) is None
+    network.node(7).handle_event("directory", EngineLeft(engine.record.engine, engine.record.incarnation))
+    others = [node for node in network.nodes.values() if node is not network.node(7)]
+
+    def left_everywhere():
+        return all(node.engine_status(engine.record.engine) is EngineStatus.LEFT for node in others)
+
+    assert network.run_until(left_everywhere, 20) <= SPREAD_WITHIN_S
+    assert network.node(7).engine_status(engine.record.engine) is None
--- a/tests/unit/agent/directory/test_entry.py
+++ b/tests/unit/agent/directory/test_entry.py
@@ -5,7 +5,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from springmux.agent.directory.entry import DirectoryEntry, merge_entries, refresh_entry, stop_entry
+from springmux.agent.directory.entry import (
+    DirectoryEntry,
+    departed_entry,
+    merge_entries,
+    refresh_entry,
+    stop_entry,
+)
 from springmux.vocabulary.engines import EngineRecord, EngineStatus
 
 RECORD = EngineRecord("e", "text", "v1", "10.0.0.1:1", 8, incarnation=5)
@@ -36,6 +42,16 @@
     assert merge_entries(one, two).published().age_key >= one.published().age_key
 
 
+@settings(derandomize=True, max_examples=100)
+@given(ENTRIES)
+def test_departure_without_a_record_keeps_the_record_and_the_facts_of_its_incarnation(known):
+    merged = merge_entries(known, departed_entry("e", known.record.incarnation))
+    assert merged.record == known.record
+    assert merged.status is EngineStatus.LEFT
+    assert (merged.intent, merged.health) == (max(1, known.intent), known.health)
+    assert merge_entries(known, departed_entry("e", known.record.incarnation - 1)) == known
+
+
 def test_only_an_announcement_reverts_a_drain():
     draining = stop_entry(DirectoryEntry(RECORD), left=False)
     assert draining.status is EngineStatus.DRAINING
