--- a/src/springmux/coordination/consensus/founding.py
+++ b/src/springmux/coordination/consensus/founding.py
@@ -30,6 +30,7 @@
     ReplicaMessage,
 )
 from springmux.coordination.consensus.types import GroupMember, GroupMembers
+from springmux.coordination.consensus.wait_log import WaitLog
 from springmux.coordination.identifiers import GroupId, NodeId, ReplicaId, Term
 from springmux.coordination.state_machine import NEVER
 
@@ -61,6 +62,7 @@
         self._promised_group: GroupId | None = None
         self._promised_until = -NEVER
         self._next_attempt_at = NEVER
+        self._wait_log = WaitLog(core)
 
     def deadline(self) -> float:
         """Return when to try again to found a group, or to continue or give up an incomplete founding."""
@@ -197,6 +199,7 @@
         if len(founding_members) < expected or founding_members[0].replica != core.replica:
             if self._attempt is not None:
                 self._abandon_attempt(self._attempt)
+            self._log_wait_for_members(founding_members)
             return
         members = GroupMembers(tuple(GroupMember(m.replica, m.node, voter=True) for m in founding_members))
         group = GroupId(f"{core.replica}-{core.random.getrandbits(GROUP_ID_BITS):016x}")
@@ -207,6 +210,7 @@
             # The group was never founded, so the new attempt reuses its identity and promises stay valid.
             group = self._attempt.group
         if self._has_promised_other_group(group):
+            self._wait_log.record("promised to help another founder", group=self._promised_group)
             return
         self._promise(group)
         expires_at = core.now + core.settings.founding_promise_s
@@ -215,8 +219,17 @@
         if expected == 1:
             self._join_group(group, members)
 
+    def _log_wait_for_members(self, eligible: list[GroupMember]) -> None:
+        nodes = [member.node for member in eligible]
+        if len(eligible) < self._core.settings.controllers_expected:
+            self._wait_log.record("too few controllers that may found", eligible=nodes)
+        else:
+            self._wait_log.record("another controller is the founder", founder=nodes[0])
+
     def _request_promises(self, attempt: _FoundingAttempt) -> None:
         core = self._core
+        missing = [m.node for m in attempt.members.members if m.replica not in attempt.promised]
+        self._wait_log.record("asked for promises", missing=missing)
         for member in attempt.members.members:
             if member.replica not in attempt.promised:
                 request = RaftFoundingRequest(attempt.group, core.replica, member.replica, Term(0))
--- a/src/springmux/coordination/consensus/joining.py
+++ b/src/springmux/coordination/consensus/joining.py
@@ -9,6 +9,7 @@
 from springmux.coordination.consensus.core import ReplicaCore
 from springmux.coordination.consensus.founding import Founding
 from springmux.coordination.consensus.messages import RaftJoinRequest
+from springmux.coordination.consensus.wait_log import WaitLog
 from springmux.coordination.identifiers import NodeId
 from springmux.coordination.state_machine import NEVER
 
@@ -27,6 +28,7 @@
         self._founding = founding
         self._next_request = 0.0
         self._round_robin_index = 0
+        self._wait_log = WaitLog(core)
         self.reported_leader_node: NodeId | None = None
         """The leader's node as reported by the membership protocol."""
 
@@ -48,6 +50,8 @@
             self._postpone_next_request()
         elif core.now >= self.deadline():
             self._next_request = core.now + core.settings.join_retry_s
+            if core.group is None:
+                self._wait_log.record("asks to join a group", may_found=core.settings.may_found)
             for node in self._next_targets():
                 self.send_request(node)
 
--- a/tests/unit/consensus/test_founding.py
+++ b/tests/unit/consensus/test_founding.py
@@ -10,7 +10,7 @@
 from springmux.coordination.consensus.events import FoundingCandidates
 from springmux.coordination.consensus.settings import ConsensusSettings
 from springmux.coordination.consensus.types import GroupMember, GroupMembers
-from springmux.coordination.state_machine import MessageReceived, Tick
+from springmux.coordination.state_machine import MessageReceived, Send, Tick
 from tests.support.consensus_cluster import Cluster
 
 FIVE = ("a", "b", "c", "d", "e")
@@ -180,7 +180,8 @@
     others = (GroupMember("rc", "c", True), GroupMember("rd", "d", True))
     machine.replica.handle(FoundingCandidates(others, established=False), 0.0)
     tick_effects = machine.replica.handle(Tick(), 1.0)
-    requests = [e.message for e in tick_effects if isinstance(e.message, wire.RaftFoundingRequest)]
+    messages = [effect.message for effect in tick_effects if isinstance(effect, Send)]
+    requests = [message for message in messages if isinstance(message, wire.RaftFoundingRequest)]
     assert {request.target for request in requests} == {"rc", "rd"}
 
     request = wire.RaftFoundingRequest("g", "ra", own_replica, 0)
