Founding: machines killed before their first-start mark are counted where no other group can exist

One of three processes is killed 0.05 s after its first start; the fleet then answers every configuration with 503 for ever and serves nothing.

Cause: only replicas with the mark of the first start may found the group, and the killed machine can't get it any more: the platform sets bootstrap at the first start only. With 2f + 1 disks the others are too few. Besides, the mark was written last but one, and a start without bootstrap removed it from a folder not yet in use.

The mark is the first file written, is kept, and is removed first when a folder is set aside.

The mutation check of test_fleet_found_again restarted one of three machines, which no longer does harm; it now restarts all three and is as strict, and the test itself has cases of one, two and three.

--- a/src/springmux/agent/leadership_handlers.py
+++ b/src/springmux/agent/leadership_handlers.py
@@ -76,7 +76,8 @@
             for record in self._components.membership.view.controllers()
             if record.replica is not None
         )
-        return self._dispatcher.deliver_to_replica(FoundingCandidates(members, exists, leader), now)
+        known = self._components.membership.known_controllers()
+        return self._dispatcher.deliver_to_replica(FoundingCandidates(members, exists, leader, known), now)
 
     def _announce_leadership(self, now: float) -> list[Effect]:
         known, components, deliver = self.known, self._components, self._dispatcher.deliver
--- a/src/springmux/coordination/consensus/events.py
+++ b/src/springmux/coordination/consensus/events.py
@@ -13,12 +13,14 @@
     """The controllers that the membership protocol reports now.
 
     ``established``: one of them is known to have a group. ``leader``: the node that is reported as the
-    group's leader, if any.
+    group's leader, if any. ``known``: all nodes of controllers that this node has heard of, absent ones
+    included; ``None`` if it may have forgotten some.
     """
 
     members: tuple[GroupMember, ...]
     established: bool
     leader: NodeId | None = None
+    known: frozenset[NodeId] | None = None
 
 
 class StopAnnounced(Event, frozen=True):
--- a/src/springmux/coordination/consensus/founding.py
+++ b/src/springmux/coordination/consensus/founding.py
@@ -8,7 +8,11 @@
 on it. Nor does safety depend on a founder that gives up its attempt for that of a founder with a lower
 name: only the founder itself could have completed the attempt.
 
-A replica that wasn't created at the system's first start (``may_found`` unset) is never counted here.
+A replica that wasn't created at the system's first start (``may_found`` unset) may have been wiped, and its
+machine may have voted in a group under an earlier identity. It founds nothing by itself and is counted only
+if no other group can exist: a group's members are ``controllers_expected`` different machines, and the
+machines of replicas created at the first start that belong to no group were never among them. So there is
+no other group if fewer machines than that remain of all that were ever known.
 """
 
 from __future__ import annotations
@@ -26,6 +30,7 @@
     RaftFoundingRelease,
     RaftFoundingRequest,
     RaftJoinRequest,
+    RaftProvenFoundingRequest,
     RaftWelcome,
     ReplicaMessage,
 )
@@ -39,10 +44,14 @@
 
 
 class _FoundingAttempt(msgspec.Struct):
-    """A founding attempt that this replica started."""
+    """A founding attempt that this replica started.
+
+    ``joining_only``: the members that weren't created at the first start.
+    """
 
     group: GroupId
     members: GroupMembers
+    joining_only: frozenset[ReplicaId]
     expires_at: float
     promised: set[ReplicaId]
 
@@ -58,7 +67,12 @@
         """Whether a group exists already: this replica then joins it and never founds another."""
         self._attempt: _FoundingAttempt | None = None
         self._ineligible: set[ReplicaId] = set()
-        """Candidates that already belong to a group or may not found one; neither ever changes."""
+        """Candidates that already belong to a group, which never changes."""
+        self._joining_only: set[ReplicaId] = set()
+        """Candidates without a group that weren't created at the first start."""
+        self._known_nodes: set[NodeId] = {core.node}
+        """Nodes of all controllers that this replica has heard of since its start."""
+        self._all_nodes_known = False
         self._promised_group: GroupId | None = None
         self._promised_until = -NEVER
         self._next_attempt_at = NEVER
@@ -81,6 +95,9 @@
         """Record the controllers that the membership protocol reports."""
         self.candidates = event.members
         self.established = event.established
+        self._known_nodes.update(member.node for member in event.members)
+        self._known_nodes.update(event.known or ())
+        self._all_nodes_known = event.known is not None
         self._next_attempt_at = min(
             self._next_attempt_at, self._core.now + self._core.settings.founding_retry_s
         )
@@ -106,10 +123,17 @@
         This replica's attempt yields to that of a founder with a lower name: two founders that wait for each
         other's members would otherwise wait until the promises expire.
         """
-        core = self._core
-        if not core.settings.may_found:
+        if not self._core.settings.may_found:
             self.refuse(message, sender)
             return
+        self._promise_to(message, sender)
+
+    def on_proven_request(self, message: RaftProvenFoundingRequest, sender: NodeId) -> None:
+        """Promise to take part in the attempt of a founder that answers for there being no other group."""
+        self._promise_to(message, sender)
+
+    def _promise_to(self, message: ReplicaMessage, sender: NodeId) -> None:
+        core = self._core
         if self._attempt is not None and self._attempt.group != message.group and sender < core.node:
             self._abandon_attempt(self._attempt)
         if self.established or self._has_promised_other_group(message.group):
@@ -124,6 +148,11 @@
             return
         attempt.promised.add(message.source)
         if len(attempt.promised) == len(attempt.members.members):
+            if attempt.joining_only and not self._excludes_other_groups(
+                len(attempt.members.members) - len(attempt.joining_only)
+            ):
+                self._abandon_attempt(attempt)
+                return
             self._join_group(attempt.group, attempt.members)
             # The founder becomes a candidate first, so that the votes, all of which are needed, aren't split.
             self._core.shorten_election_deadline()
@@ -135,8 +164,11 @@
             self._promised_until = -NEVER
 
     def on_commit(self, message: RaftFoundingCommit) -> None:
-        """Join a group that all members promised to found, unless another is established by now."""
-        if not self._may_found():
+        """Join a group that all members promised to found, unless another is established by now.
+
+        Who lists this replica has its promise, also if it has restarted since and doesn't remember it.
+        """
+        if self.established:
             return
         listed = message.members.find(self._core.replica) is not None
         if listed and not self._has_promised_other_group(message.group):
@@ -168,18 +200,22 @@
             return
         if self._attempt is not None and self._attempt.group == message.group:
             self._abandon_attempt(self._attempt)
-        if message.own_group or message.joins_only:
-            self._ineligible.add(message.replica)
+        self._classify(message.replica, message.own_group, message.joins_only)
         self.established = self.established or message.commit > 0
 
     def on_join_request(self, message: RaftJoinRequest) -> None:
-        """Exclude the sender from the candidates if it may not found a group or belongs to one already.
+        """Exclude the sender from the founders if it may not found a group or belongs to one already.
 
         The remaining members of its group may never elect a leader. If the sender has the lowest name here,
         the other candidates would otherwise wait for it to found a group.
         """
-        if message.group or message.joins_only:
-            self._ineligible.add(message.replica)
+        self._classify(message.replica, message.group, message.joins_only)
+
+    def _classify(self, replica: ReplicaId, group: str, joins_only: bool) -> None:
+        if group:
+            self._ineligible.add(replica)
+        elif joins_only:
+            self._joining_only.add(replica)
 
     def _may_found(self) -> bool:
         return self._core.settings.may_found and not self.established
@@ -188,20 +224,14 @@
         core = self._core
         self._postpone_next_attempt()
         expected = core.settings.controllers_expected
-        own_member = GroupMember(core.replica, core.node, voter=True)
-        controllers_by_node = {candidate.node: candidate for candidate in (*self.candidates, own_member)}
-        eligible = [
-            controllers_by_node[node]
-            for node in sorted(controllers_by_node)
-            if controllers_by_node[node].replica not in self._ineligible
-        ]
-        founding_members = eligible[:expected]
+        founding_members = self._founding_members()
         if len(founding_members) < expected or founding_members[0].replica != core.replica:
             if self._attempt is not None:
                 self._abandon_attempt(self._attempt)
             self._log_wait_for_members(founding_members)
             return
         members = GroupMembers(tuple(GroupMember(m.replica, m.node, voter=True) for m in founding_members))
+        joining_only = frozenset(m.replica for m in founding_members if m.replica in self._joining_only)
         group = GroupId(f"{core.replica}-{core.random.getrandbits(GROUP_ID_BITS):016x}")
         if self._attempt is not None:
             if self._attempt.members == members and core.now < self._attempt.expires_at:
@@ -214,11 +244,36 @@
             return
         self._promise(group)
         expires_at = core.now + core.settings.founding_promise_s
-        self._attempt = _FoundingAttempt(group, members, expires_at, {core.replica})
+        self._attempt = _FoundingAttempt(group, members, joining_only, expires_at, {core.replica})
         self._request_promises(self._attempt)
         if expected == 1:
             self._join_group(group, members)
 
+    def _founding_members(self) -> list[GroupMember]:
+        """Return the members of the next attempt, the founder first; fewer than needed if it must wait.
+
+        Replicas that weren't created at the first start are included only if the others are too few and there
+        can be no other group.
+        """
+        core = self._core
+        expected = core.settings.controllers_expected
+        own_member = GroupMember(core.replica, core.node, voter=True)
+        controllers_by_node = {candidate.node: candidate for candidate in (*self.candidates, own_member)}
+        eligible = [
+            controllers_by_node[node]
+            for node in sorted(controllers_by_node)
+            if controllers_by_node[node].replica not in self._ineligible
+        ]
+        founders = [member for member in eligible if member.replica not in self._joining_only]
+        if len(founders) < expected and self._excludes_other_groups(len(founders)):
+            founders += [member for member in eligible if member.replica in self._joining_only]
+        return founders[:expected]
+
+    def _excludes_other_groups(self, founders: int) -> bool:
+        """Return whether too few machines for another group remain beside ``founders`` of the first start."""
+        others = len(self._known_nodes) - founders
+        return self._all_nodes_known and others < self._core.settings.controllers_expected
+
     def _log_wait_for_members(self, eligible: list[GroupMember]) -> None:
         nodes = [member.node for member in eligible]
         if len(eligible) < self._core.settings.controllers_expected:
@@ -231,9 +286,12 @@
         missing = [m.node for m in attempt.members.members if m.replica not in attempt.promised]
         self._wait_log.record("asked for promises", missing=missing)
         for member in attempt.members.members:
-            if member.replica not in attempt.promised:
-                request = RaftFoundingRequest(attempt.group, core.replica, member.replica, Term(0))
-                core.send(member.node, request)
+            if member.replica in attempt.promised:
+                continue
+            kind = (
+                RaftProvenFoundingRequest if member.replica in attempt.joining_only else RaftFoundingRequest
+            )
+            core.send(member.node, kind(attempt.group, core.replica, member.replica, Term(0)))
 
     def _abandon_attempt(self, attempt: _FoundingAttempt) -> None:
         """Give up this replica's attempt; nothing can complete it afterwards."""
--- a/src/springmux/coordination/consensus/messages.py
+++ b/src/springmux/coordination/consensus/messages.py
@@ -116,6 +116,13 @@
     """Request to promise, for a short time, to help found only the proposed group ``group``."""
 
 
+class RaftProvenFoundingRequest(ReplicaMessage, frozen=True, tag="RaftProvenFoundingRequest"):
+    """The same request to a replica that wasn't created at the first start.
+
+    The founder commits only if enough other members were, so that no other group can exist.
+    """
+
+
 class RaftFoundingPromise(ReplicaMessage, frozen=True, tag="RaftFoundingPromise"):
     """Reply that promises to help found ``group`` and no other."""
 
@@ -188,6 +195,7 @@
     RaftTimeoutNow,
     RaftWelcome,
     RaftFoundingRequest,
+    RaftProvenFoundingRequest,
     RaftFoundingPromise,
     RaftFoundingRelease,
     RaftFoundingCommit,
--- a/src/springmux/coordination/consensus/replica.py
+++ b/src/springmux/coordination/consensus/replica.py
@@ -47,6 +47,7 @@
     RaftJoinRequest,
     RaftPreVote,
     RaftPreVoteReply,
+    RaftProvenFoundingRequest,
     RaftSnapshotChunk,
     RaftSnapshotReply,
     RaftTimeoutNow,
@@ -223,7 +224,7 @@
         If the identity differs or this replica has a group, founding messages are refused and others dropped.
         """
         core = self._core
-        founding = isinstance(message, RaftFoundingRequest | RaftFoundingCommit)
+        founding = isinstance(message, RaftFoundingRequest | RaftProvenFoundingRequest | RaftFoundingCommit)
         if message.target != core.replica or core.group is not None:
             if founding:
                 self._founding.refuse(message, sender)
@@ -231,6 +232,8 @@
         match message:
             case RaftFoundingRequest():
                 self._founding.on_request(message, sender)
+            case RaftProvenFoundingRequest():
+                self._founding.on_proven_request(message, sender)
             case RaftFoundingPromise():
                 self._founding.on_promise(message)
             case RaftFoundingRelease():
--- a/src/springmux/coordination/membership/joining.py
+++ b/src/springmux/coordination/membership/joining.py
@@ -86,6 +86,11 @@
         self._rejoin_turn += 1
         return [SendToAddress(absent[self._rejoin_turn % len(absent)], MemberJoin(own))]
 
+    def knows_all_seeds(self) -> bool:
+        """Return whether every seed's node is known, present or not."""
+        known_addresses = {record.peer_address for record in self._table.records()}
+        return known_addresses.issuperset(self._seeds)
+
     def _is_joining(self, now: float) -> bool:
         alone = not self._table.others(PRESENT_STATUSES)
         return self._missing.are_awaited(now) or (alone and bool(self._seeds or len(self._missing)))
--- a/src/springmux/coordination/membership/membership.py
+++ b/src/springmux/coordination/membership/membership.py
@@ -95,6 +95,15 @@
         """
         return self._missing.are_awaited(now)
 
+    def known_controllers(self) -> frozenset[NodeId] | None:
+        """Return the nodes with a replica, present or not.
+
+        Return ``None`` while a remembered peer or a seed is unknown, since there may be more.
+        """
+        if self._missing or not self._joiner.knows_all_seeds():
+            return None
+        return frozenset(record.node for record in self.view.nodes.values() if record.replica is not None)
+
     def next_deadline(self) -> float:
         """Return when the next tick is due."""
         deadline = min(self._disseminator.next_deadline(), self._publisher.next_deadline())
--- a/src/springmux/storage/replica_store.py
+++ b/src/springmux/storage/replica_store.py
@@ -26,7 +26,11 @@
 
 IDENTITY_NAME = "replica-id"
 FIRST_START_NAME = "first-start"
-"""Present if the replica was created at the first start of the whole system."""
+"""Present if the replica was created at the first start of the whole system.
+
+It is the first file of a new folder, and the first to be removed when a folder is set aside. So in a folder
+that isn't in use it means that a first start was interrupted, and the next start keeps it.
+"""
 IN_USE_NAME = "in-use"
 """Present once the folder is in use; a folder with it but without identity or log was wiped and isn't new."""
 LOCK_NAME = "lock"
@@ -135,6 +139,8 @@
         """
         lock = self._disk.lock(self._path(LOCK_NAME))
         try:
+            self._disk.remove(self._path(FIRST_START_NAME))
+            self._disk.fsync_folder(self._folder)
             self._reserve.release()
             for name in self._disk.list_folder(self._folder):
                 if name != LOCK_NAME and not name.endswith(DAMAGED_SUFFIX):
@@ -172,18 +178,16 @@
                 self._disk.remove(self._path(name))
 
     def _create_replica(self) -> None:
-        """Create a replica: log, identity and, last, the in-use file that makes them valid."""
+        """Create a replica: mark, log, identity and, last, the in-use file that makes them valid."""
         if holds_batches(self._disk, self._folder) or self._snapshots.oldest_index():
             raise FolderWipedError(self._folder, IN_USE_NAME)
+        if self._first_start:
+            write_atomically(self._disk, self._folder, FIRST_START_NAME, b"1\n")
         replica = self._new_identity()
         log = WriteAheadLog(self._disk, self._folder, replica, self._segment_bytes)
         log.create()
         log.close()
         write_atomically(self._disk, self._folder, IDENTITY_NAME, replica.encode())
-        if self._first_start:
-            write_atomically(self._disk, self._folder, FIRST_START_NAME, b"1\n")
-        else:
-            self._disk.remove(self._path(FIRST_START_NAME))
         write_atomically(self._disk, self._folder, IN_USE_NAME, b"1\n")
         self.recovery_report = RecoveryReport(new_replica=True)
 
--- a/tests/support/consensus_cluster.py
+++ b/tests/support/consensus_cluster.py
@@ -39,8 +39,9 @@
 class Disk:
     """State that survives a crash: only batches whose write has ended."""
 
-    def __init__(self, replica: str) -> None:
+    def __init__(self, replica: str, first_start: bool | None = None) -> None:
         self.replica = ReplicaId(replica)
+        self.first_start = first_start
         self.group: GroupId | None = None
         self.founding: GroupMembers | None = None
         self.hard_state = HardState(Term(0), None)
@@ -108,6 +109,10 @@
     ) -> None:
         self.random = random.Random(seed)
         self.settings = settings
+        self.first_start: bool | None = None
+        """Whether replicas created from now on may found a group; by default as ``settings`` say."""
+        self.known_nodes: Callable[[], frozenset[NodeId] | None] = lambda: frozenset(self.machines)  # type: ignore[arg-type]
+        """The nodes that membership reports as all known ones."""
         self.now = 0.0
         self.loss = self.duplication = 0.0
         self.delay = (0.001, 0.01)
@@ -139,7 +144,7 @@
         if node in self.machines and self.machines[node].alive:
             self.crash(node)
         self._identities += 1
-        machine = Machine(node, Disk(f"r{self._identities}"))
+        machine = Machine(node, Disk(f"r{self._identities}", self.first_start))
         machine.boot = self.machines[node].boot + 1 if node in self.machines else 0
         self.machines[node] = machine
         self.restart(node)
@@ -167,7 +172,10 @@
         machine.stalled = False
         recovered = machine.disk.recover()
         rng = random.Random(self.random.getrandbits(32))
-        machine.replica = Replica(recovered, machine.node, rng, self.settings)
+        settings = self.settings
+        if machine.disk.first_start is not None:
+            settings = msgspec.structs.replace(settings, may_found=machine.disk.first_start)
+        machine.replica = Replica(recovered, machine.node, rng, settings)
         machine.state = _STATE_DECODER.decode(recovered.snapshot_data) if recovered.snapshot else []
         machine.applied = recovered.snapshot.index if recovered.snapshot else 0
         machine.tick_at = float("inf")
@@ -323,9 +331,8 @@
             reachable = [m for m in alive if frozenset((m.node, machine.node)) not in self.cut_links]
             members = tuple(GroupMember(m.disk.replica, m.node, True) for m in reachable)
             established = any(m.status.commit_index > 0 for m in reachable)
-            self._schedule_for_machine(
-                machine, self.now, self._event_action(machine, FoundingCandidates(members, established))
-            )
+            candidates = FoundingCandidates(members, established, known=self.known_nodes())
+            self._schedule_for_machine(machine, self.now, self._event_action(machine, candidates))
 
     def _event_action(self, machine: Machine, event: Event) -> Callable[[], None]:
         return lambda: self.handle_event(machine.node, event)
--- a/tests/unit/agent/test_fleet_found_again.py
+++ b/tests/unit/agent/test_fleet_found_again.py
@@ -93,36 +93,58 @@
     assert not serves_again_without_seeds(0)
 
 
-def founded_after_an_early_restart(kind: tuple[dict[str, int], int, int], seed: int) -> bool:
-    """Restart a controller before its group is founded; return whether there is one group in time."""
+def founded_after_early_restarts(
+    kind: tuple[dict[str, int], int, int], seed: int, early_count: int, before_mark: bool = False
+) -> bool:
+    """Restart controllers before their group is founded; return whether there is one group in time.
+
+    :param before_mark: whether they are killed before they have written anything to their disks.
+    """
     site = Site(kind, seed)
-    early, *later = site.disks[: 2 * kind[2] + 1]
-    site.world.apply(Restart(at=0.0, node=early))
+    founders = site.disks[: 2 * kind[2] + 1]
+    early, later = founders[:early_count], founders[early_count:]
+    for node in early:
+        site.world.apply(Restart(at=0.0, node=node))
     site.world.run_for(0.05)
-    site.world.apply(Kill(at=site.world.now, node=early))
+    for node in early:
+        site.world.apply(Kill(at=site.world.now, node=node))
+        if before_mark:
+            site.world.apply(Wipe(at=site.world.now, node=node))
     site.world.run_for(0.5)
     for node in later:
         site.world.apply(Restart(at=site.world.now, node=node))
     site.fleet.first_start = False
-    site.world.apply(Restart(at=site.world.now, node=early))
+    for node in early:
+        site.world.apply(Restart(at=site.world.now, node=node))
     led = site.run_until(lambda: site.fleet.leader() is not None, FOUND_WITHIN_S)
     return led and len(site.groups()) == 1
 
 
 @pytest.mark.parametrize("kind", [SITE_A, SITE_B], ids=["four disks", "three disks"])
 @pytest.mark.parametrize("seed", range(5))
-def test_controller_restarted_before_its_group_was_founded_helps_to_found_it(
-    kind: tuple[dict[str, int], int, int], seed: int
+@pytest.mark.parametrize("early_count", [1, 2, 3])
+def test_controllers_restarted_before_their_group_was_founded_help_to_found_it(
+    kind: tuple[dict[str, int], int, int], seed: int, early_count: int
+) -> None:
+    assert founded_after_early_restarts(kind, seed, early_count)
+
+
+@pytest.mark.parametrize("kind", [SITE_A, SITE_B], ids=["four disks", "three disks"])
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("early_count", [1, 2])
+def test_controllers_killed_before_their_folder_was_marked_help_to_found_the_group(
+    kind: tuple[dict[str, int], int, int], seed: int, early_count: int
 ) -> None:
-    assert founded_after_an_early_restart(kind, seed)
+    """Guards against a fleet without a group after one kill in the first moments of its first start."""
+    assert founded_after_early_restarts(kind, seed, early_count, before_mark=True)
 
 
-def test_check_detects_a_controller_that_forgets_its_first_start(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_check_detects_controllers_that_forget_their_first_start(monkeypatch: pytest.MonkeyPatch) -> None:
     opened = ReplicaStore.open
     monkeypatch.setattr(
         ReplicaStore, "open", lambda store: msgspec.structs.replace(opened(store), first_start=False)
     )
-    assert not founded_after_an_early_restart(SITE_B, 0)
+    assert not founded_after_early_restarts(SITE_B, 0, early_count=3)
 
 
 def test_wiped_controller_does_not_count_as_part_of_the_first_start() -> None:
--- a/tests/unit/membership/test_remembered_peers.py
+++ b/tests/unit/membership/test_remembered_peers.py
@@ -4,7 +4,9 @@
 
 import random
 
-from springmux.coordination.identifiers import Address, NodeId, ZoneName
+import msgspec
+
+from springmux.coordination.identifiers import Address, NodeId, ReplicaId, ZoneName
 from springmux.coordination.membership.effects import SendToAddress
 from springmux.coordination.membership.membership import Membership
 from springmux.coordination.membership.messages import MemberJoin, MemberState
@@ -116,3 +118,19 @@
     membership.handle(Tick(), STARTED_AT)
     receive_records(membership, record(1))
     assert written_lists(run(membership, STARTED_AT + 5.0)) == []
+
+
+def controller(number: int, status: NodeStatus = NodeStatus.ALIVE) -> NodeRecord:
+    return msgspec.structs.replace(record(number, status), replica=ReplicaId(f"r{number}"))
+
+
+def test_known_controllers_are_complete_only_once_all_remembered_peers_and_seeds_are_known() -> None:
+    """Guards against a second group founded by controllers that don't know of the members of the first."""
+    seeds = (record(1).peer_address, record(9).peer_address)
+    membership = Membership(record(9), seeds, random.Random(1), SETTINGS, remembered(2))
+    membership.handle(Tick(), STARTED_AT)
+    assert membership.known_controllers() is None
+    receive_records(membership, controller(1))
+    assert membership.known_controllers() is None
+    receive_records(membership, controller(2, NodeStatus.DEAD), record(3))
+    assert membership.known_controllers() == {record(1).node, record(2).node}
--- a/tests/unit/storage/support.py
+++ b/tests/unit/storage/support.py
@@ -23,9 +23,14 @@
 RESERVE_BYTES = 4096
 
 
-def store_on(disk: MemoryDisk, seed: int = 7) -> ReplicaStore:
+def store_on(disk: MemoryDisk, seed: int = 7, first_start: bool = False) -> ReplicaStore:
     return ReplicaStore(
-        disk, FOLDER, random.Random(seed), segment_bytes=SMALL_SEGMENT_BYTES, reserve_bytes=RESERVE_BYTES
+        disk,
+        FOLDER,
+        random.Random(seed),
+        segment_bytes=SMALL_SEGMENT_BYTES,
+        reserve_bytes=RESERVE_BYTES,
+        first_start=first_start,
     )
 
 
--- a/tests/unit/storage/test_replica_store.py
+++ b/tests/unit/storage/test_replica_store.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import random
+from collections.abc import Callable
 
 import msgspec
 import pytest
@@ -12,9 +13,14 @@
 from springmux.coordination.consensus.types import EntryKind, HardState
 from springmux.coordination.identifiers import GroupId, LogIndex, ReplicaId, Term
 from springmux.storage.disk import DiskFailedError, DiskFullError, FolderLockedError
-from springmux.storage.errors import FolderWipedError, LogCorruptError, SnapshotMissingError
+from springmux.storage.errors import (
+    FolderWipedError,
+    LogCorruptError,
+    SnapshotMissingError,
+    StorageDamagedError,
+)
 from springmux.storage.memory_disk import MemoryDisk
-from springmux.storage.replica_store import ReplicaStore
+from springmux.storage.replica_store import FIRST_START_NAME, ReplicaStore
 from tests.unit.storage.support import FOLDER, MEMBERS, RESERVE_BYTES, batch_with, entry, meta, store_on
 
 
@@ -61,6 +67,57 @@
     assert store_on(disk).open().entries == (entry(1),)
 
 
+def end_after_calls(disk: MemoryDisk, calls: int, action: Callable[[], object]) -> None:
+    """Let the disk fail after ``calls`` calls of ``action``, as if the process had ended there."""
+    disk.calls_until_failure = calls
+    with contextlib.suppress(DiskFailedError):
+        action()
+    disk.failing, disk.calls_until_failure = False, None
+
+
+MARK_PATH = f"{FOLDER}/{FIRST_START_NAME}"
+MOST_CALLS_BEFORE_THE_MARK = 15
+
+
+@pytest.mark.parametrize("ends", ["kill", "power cut"])
+@pytest.mark.parametrize("calls", range(40))
+def test_replica_of_an_interrupted_first_start_keeps_the_mark(calls: int, ends: str) -> None:
+    """Guards against a founder that only joins after a kill between two writes of its new folder."""
+    disk = MemoryDisk()
+    end_after_calls(disk, calls, lambda: store_on(disk, first_start=True).open())
+    if ends == "kill":
+        disk.process_killed()
+    else:
+        disk.power_cut(random.Random(calls))
+    marked = disk.exists(MARK_PATH)
+    assert marked or calls < MOST_CALLS_BEFORE_THE_MARK, "the mark is to be the first file"
+    assert store_on(disk, seed=8).open().first_start == marked
+    disk.power_cut()
+    assert store_on(disk, seed=9).open().first_start == marked
+
+
+@pytest.mark.parametrize("ends", ["kill", "power cut"])
+@pytest.mark.parametrize("calls", range(40))
+def test_replica_after_an_interrupted_set_aside_has_no_mark(calls: int, ends: str) -> None:
+    """Guards against a mark of the first start on a machine that has lost the votes it gave since."""
+    disk = MemoryDisk()
+    used = store_on(disk, first_start=True)
+    used.open()
+    used.persist(batch_with(entry(1), term=3))
+    used.close()
+    end_after_calls(disk, calls, store_on(disk).set_aside)
+    if ends == "kill":
+        disk.process_killed()
+    else:
+        disk.power_cut(random.Random(calls))
+    try:
+        recovered = store_on(disk, seed=8).open()
+    except StorageDamagedError:
+        store_on(disk).set_aside()
+        recovered = store_on(disk, seed=8).open()
+    assert not recovered.first_start or recovered.entries == (entry(1),)
+
+
 def test_wiped_disk_becomes_a_new_replica() -> None:
     disk = MemoryDisk()
     before = store_on(disk, seed=1).open().replica
