Directory: no digest is built without receivers, and unknown engines aren't kept for a second relay

The digest with its list of lost engines was built at each tick of a node, also when no peer was due; and leaves of engines that nobody knows were kept without a bound while a node had no contact. No measurement.

--- a/src/springmux/agent/directory/anti_entropy.py
+++ b/src/springmux/agent/directory/anti_entropy.py
@@ -76,6 +76,8 @@
 
     def digests(self, receivers: list[NodeId], reply_wanted: bool = False) -> list[Effect]:
         """Return the root hash for each receiver, after a query about lost engines if there are any."""
+        if not receivers:
+            return []
         messages: list[PeerMessage] = [DirectoryDigest(self._table.root_hash(), reply_wanted)]
         lost = self._table.lost_entries()
         if lost:
--- a/src/springmux/agent/directory/relay_queue.py
+++ b/src/springmux/agent/directory/relay_queue.py
@@ -33,7 +33,8 @@
         """Queue a change."""
         engine = entry.record.engine
         self._pending[engine] = entry
-        self._changed_at[engine] = now
+        if self._table.get(engine) is not None:
+            self._changed_at[engine] = now
 
     def take(self, batch_s: float, now: float) -> list[DirectoryEntry]:
         """Return the batch that is due; the next one is due ``batch_s`` seconds later."""
