Soak: engines drain, leave, fall silent and crash while nodes are struck; the first start is struck too

Change: engines of both services are replaced all the time (a drain or a DELETE first, heartbeats late by 3.5 to 6 s, the other engine crashes meanwhile); the new rule drained says that an undisturbed node sends an engine nothing 2 s (drainMs) after any node acknowledged that it stops, as the users' pages do. Kills and freezes strike controllers in the first 1.2 s.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(BIN)/lint-imports
 	$(BIN)/mypy
 	$(BIN)/pytest -n 6 --pass-over-known-red
-	$(BIN)/springmux lab soak --first-seed 12 --nodes 6 --seconds 45
+	$(BIN)/springmux lab soak --first-seed 12 --seeds 2 --nodes 6 --seconds 45
 
 demo: $(STAMP) ## run a whole fleet on loopback under traffic, rollouts and faults
 	$(BIN)/springmux lab demo
--- a/src/springmux/lab/soak/clients.py
+++ b/src/springmux/lab/soak/clients.py
@@ -8,7 +8,7 @@
 
 from springmux.lab.soak.configurations import FIRST_KEY, HOST, MOVING_PATH, numbered_path
 from springmux.lab.soak.consistency_checker import IN_FORCE_S, ConsistencyChecker, SentRequest
-from springmux.lab.soak.engines import SoakEngines
+from springmux.lab.soak.engine_pool import SoakEngines
 from springmux.lab.soak.fleet import FRONT_PORT, SoakNode
 from springmux.lab.soak.history import ConfigurationHistory
 from springmux.lab.soak.http_connection import ConnectionClosedError, HttpConnection
--- a/src/springmux/lab/soak/consistency_checker.py
+++ b/src/springmux/lab/soak/consistency_checker.py
@@ -6,6 +6,7 @@
 
 from springmux.lab.soak.availability import AvailabilityChecker
 from springmux.lab.soak.configurations import UNKNOWN_KEY, UNKNOWN_ROUTE
+from springmux.lab.soak.engines import StandInEngine
 from springmux.lab.soak.findings import Findings, Rule
 from springmux.lab.soak.fleet import SoakFleet, SoakNode
 from springmux.lab.soak.history import ConfigurationHistory
@@ -17,6 +18,8 @@
 """Time from the first response that shows a version until its node may no longer apply an older one."""
 CLOSE_RACE_S = 0.2
 """Time after a request in which its connection may close without a response, as the two may cross."""
+DRAIN_S = 2.0
+"""Time after the acknowledgement of an engine's stop in which requests may still reach the engine."""
 SERVED = 200
 FIRST_SERVER_ERROR = 500
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
@@ -47,13 +50,33 @@
         self._findings = findings
         self._availability = AvailabilityChecker(findings)
         self._seen: dict[tuple[int, int], list[tuple[float, int]]] = {}
+        self._sent: dict[str, SentRequest] = {}
         self.refused: list[str] = []
         """Ids of the requests that were refused; no engine may ever run them."""
 
     def record_sent(self, request_id: str, node: SoakNode, path: str, key: str, now: float) -> SentRequest:
         """Record that a request is sent now."""
         undisturbed = self._fleet.is_undisturbed(node, now)
-        return SentRequest(request_id, node, node.incarnation, path, key, now, undisturbed)
+        request = SentRequest(request_id, node, node.incarnation, path, key, now, undisturbed)
+        self._sent[request_id] = request
+        return request
+
+    def check_run(self, engine: StandInEngine, request_id: str, now: float) -> None:
+        """Check that an engine which begins to run a request isn't stopping, as far as its node must know."""
+        request = self._sent.get(request_id)
+        stopped_at = engine.stop_acknowledged_at
+        if request is None or stopped_at is None or now <= stopped_at + DRAIN_S:
+            return
+        node = request.node
+        in_touch = request.undisturbed and self._fleet.is_undisturbed(node, now) and not node.stopping
+        if not in_touch or node.incarnation != request.incarnation:
+            self._findings.count("stopped engine used by a disturbed node")
+            return
+        what = (
+            f"{request_id} from {node.name} reached {engine.name} {now - stopped_at:.2f} s after "
+            f"its stop was acknowledged (draining: {engine.draining})"
+        )
+        self._findings.add(Rule.DRAINED, what)
 
     def check_response(self, request: SentRequest, response: Response, now: float) -> None:
         """Check a response against the versions that may have been in force at its node."""
--- a/src/springmux/lab/soak/engines.py
+++ b/src/springmux/lab/soak/engines.py
@@ -1,19 +1,18 @@
-"""Stand-in engines of a soak: they respond with their service's name and count each request's executions."""
+"""Stand-in engine of a soak: it responds with its service's name and counts each request's executions."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import random
+import time
+from collections.abc import Callable
 
 import msgspec
 
-from springmux.lab.soak.configurations import SERVICES
 from springmux.lab.soak.http_connection import read_message, request_once
 
-ENGINES_PER_SERVICE = 2
 SLOTS = 64
-REPORT_PERIOD_S = 1.0
 REPORT_TIMEOUT_S = 1.0
 LONGEST_WORK_S = 1.2
 SHORT_WORK_S = 0.004
@@ -30,17 +29,35 @@
 
 
 class StandInEngine:
-    """One engine of a service, on a loopback port."""
-
-    def __init__(self, service: str, number: int, source: random.Random) -> None:
-        self.name = f"{service}-{number}"
+    """One engine of a service, from its start to its end, on a loopback port.
+
+    :param on_run: called with the engine and the id of each request that begins to run.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        endpoints: list[ControlEndpoint],
+        source: random.Random,
+        on_run: Callable[[StandInEngine, str], None],
+    ) -> None:
+        self.name = name
+        self.draining = False
+        self.reports = True
+        """Whether the engine sends heartbeats now; late heartbeats are sent once this is true again."""
+        self.stop_acknowledged_at: float | None = None
+        """When a node first acknowledged that the engine drains or has left, in monotonic seconds."""
+        self.runs: dict[str, int] = {}
+        """Number of executions by request id."""
         self._service = service
+        self._endpoints = endpoints
         self._random = source
+        self._on_run = on_run
         self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.StreamWriter] = set()
         self._address = ""
         self._sequence = 0
-        self.runs: dict[str, int] = {}
-        """Number of executions by request id."""
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -48,14 +65,18 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         self._address = f"{host}:{port}"
 
-    def stop(self) -> None:
-        """Stop listening."""
+    def end(self) -> None:
+        """Stop listening and reset every open connection, as when the process ends or crashes."""
+        self.reports = False
         if self._server is not None:
             self._server.close()
+        for writer in tuple(self._connections):
+            writer.transport.abort()
 
-    async def report(self, endpoints: list[ControlEndpoint]) -> None:
-        """Report to one node after another, in random order, until one accepts."""
+    async def report(self) -> bool:
+        """Send a heartbeat; return whether a node acknowledged it."""
         self._sequence += 1
+        draining = self.draining
         body = msgspec.json.encode(
             {
                 "service": self._service,
@@ -63,28 +84,52 @@
                 "version": "v1",
                 "zone": "zone-1",
                 "slots": SLOTS,
-                "state": "ready",
+                "state": "draining" if draining else "ready",
                 "sequence": self._sequence,
             }
         )
+        acknowledged = await self._send("PUT", body)
+        if acknowledged and draining:
+            self._record_stop_acknowledged()
+        return acknowledged
+
+    async def leave(self) -> bool:
+        """Send a DELETE; return whether a node acknowledged it."""
+        acknowledged = await self._send("DELETE", b"")
+        if acknowledged:
+            self._record_stop_acknowledged()
+        return acknowledged
+
+    def _record_stop_acknowledged(self) -> None:
+        if self.stop_acknowledged_at is None:
+            self.stop_acknowledged_at = time.monotonic()
+
+    async def _send(self, method: str, body: bytes) -> bool:
+        """Send a report to one node after another, in random order, until one acknowledges it."""
         target = f"/v1/gateway/engines/{self.name}"
-        for endpoint in self._random.sample(endpoints, len(endpoints)):
+        for endpoint in self._random.sample(self._endpoints, len(self._endpoints)):
             response = await request_once(
-                endpoint.host, endpoint.port, "PUT", target, {}, body, REPORT_TIMEOUT_S
+                endpoint.host, endpoint.port, method, target, {}, body, REPORT_TIMEOUT_S
             )
             if response is not None and response.status == 200:
-                return
+                return True
+        return False
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                await self._serve_one(reader, writer)
+        self._connections.add(writer)
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    await self._serve_one(reader, writer)
+        finally:
+            self._connections.discard(writer)
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         request_line, headers, _ = await read_message(reader)
         request_id = headers.get("x-request-id", "")
         if not request_line.startswith("GET /health"):
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            self._on_run(self, request_id)
             await asyncio.sleep(self._work_s())
         body = self._service.encode()
         writer.write(OK.format(size=len(body), seal=self.name, request=request_id).encode() + body)
@@ -96,39 +141,3 @@
             if self._random.random() < LONG_WORK_SHARE
             else SHORT_WORK_S
         )
-
-
-class SoakEngines:
-    """All engines of a soak, and the task that reports them to the nodes."""
-
-    def __init__(self, source: random.Random, endpoints: list[ControlEndpoint]) -> None:
-        self._endpoints = endpoints
-        self.engines = [
-            StandInEngine(service, number, random.Random(source.getrandbits(64)))
-            for service in SERVICES
-            for number in range(ENGINES_PER_SERVICE)
-        ]
-        self._report_task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Start all engines and report them periodically from then on."""
-        for engine in self.engines:
-            await engine.start()
-        self._report_task = asyncio.get_running_loop().create_task(self._report_forever())
-
-    async def stop(self) -> None:
-        """Stop the reports and all engines."""
-        if self._report_task is not None:
-            self._report_task.cancel()
-            await asyncio.gather(self._report_task, return_exceptions=True)
-        for engine in self.engines:
-            engine.stop()
-
-    def runs(self, request_id: str) -> int:
-        """Return how many times the engines together ran a request."""
-        return sum(engine.runs.get(request_id, 0) for engine in self.engines)
-
-    async def _report_forever(self) -> None:
-        while True:
-            await asyncio.gather(*(engine.report(self._endpoints) for engine in self.engines))
-            await asyncio.sleep(REPORT_PERIOD_S)
--- a/src/springmux/lab/soak/findings.py
+++ b/src/springmux/lab/soak/findings.py
@@ -24,6 +24,8 @@
     """Undisturbed nodes serve valid requests."""
     ONCE = "once"
     """Engines run a request at most once, and not at all if it was refused."""
+    DRAINED = "drained"
+    """Undisturbed nodes send an engine nothing more soon after any node acknowledged that it stops."""
     END = "end"
     """Processes exit only on request, within their grace period, with code 0."""
 
--- a/src/springmux/lab/soak/plan.py
+++ b/src/springmux/lab/soak/plan.py
@@ -14,6 +14,13 @@
 
 A stop takes up to its grace period, and every node must apply the newest configuration again.
 """
+FIRST_STEPS_S = 1.2
+"""Time from the first start within which it is struck: processes open their folders and found the group."""
+FIRST_KILLED_MAX = 2
+"""Controllers that are killed at the first start, at most, and never all of them.
+
+Without any folder of the first start no group may be founded (docs/notes/agreement.md).
+"""
 PAUSE_S = (0.3, 3.5)
 """Range of the time between the starts of two series; most series last longer, so they overlap."""
 
@@ -66,6 +73,24 @@
     )
 
 
+def make_first_steps(seed: int, size: SoakSize) -> tuple[Step, ...]:
+    """Return the kills and freezes of controllers during the first start; with some seeds there are none."""
+    source = random.Random(f"soak first start {seed}")
+    controllers = source.sample(range(size.controllers), size.controllers)
+    killed = controllers[: source.randint(0, min(FIRST_KILLED_MAX, size.controllers - 1))]
+    steps = [
+        Step(source.uniform(0.0, FIRST_STEPS_S), SignalKind.KILL, node, source.uniform(0.0, 1.0))
+        for node in killed
+        for _ in range(source.randint(1, 2))
+    ]
+    steps += [
+        Step(source.uniform(0.0, FIRST_STEPS_S), SignalKind.FREEZE, node, source.uniform(0.2, 3.0))
+        for node in controllers
+        if node not in killed and source.random() < 0.3
+    ]
+    return tuple(sorted(steps, key=lambda step: (step.at_s, step.node)))
+
+
 def _sample_nodes(source: random.Random, size: SoakSize, share: float) -> list[int]:
     return source.sample(range(size.nodes), max(1, round(share * size.nodes)))
 
--- a/src/springmux/lab/soak/run.py
+++ b/src/springmux/lab/soak/run.py
@@ -14,13 +14,13 @@
 from springmux.lab.soak.clients import SoakClient
 from springmux.lab.soak.configurations import HOST
 from springmux.lab.soak.consistency_checker import IN_FORCE_S, ConsistencyChecker
-from springmux.lab.soak.engines import SoakEngines
+from springmux.lab.soak.engine_pool import SoakEngines
 from springmux.lab.soak.findings import Finding, Findings, Rule
 from springmux.lab.soak.fleet import DISTURBANCE_EFFECT_S, FRONT_PORT, SoakFleet
 from springmux.lab.soak.history import ConfigurationHistory
 from springmux.lab.soak.http_connection import request_once
 from springmux.lab.soak.operators import SoakOperators, read_configuration
-from springmux.lab.soak.plan import SoakSize, make_plan
+from springmux.lab.soak.plan import SoakSize, Step, make_first_steps, make_plan
 
 FIRST_CONFIGURATION_S = 60.0
 """Time for many processes on a busy machine to start and for the controllers to form their group."""
@@ -49,7 +49,13 @@
         self._history = ConfigurationHistory()
         self._fleet = SoakFleet(size, folder, self._findings, random.Random(source.getrandbits(64)))
         endpoints = self._fleet.control_endpoints()
-        self._engines = SoakEngines(random.Random(source.getrandbits(64)), endpoints)
+        self._checker = ConsistencyChecker(self._history, self._fleet, self._findings)
+        self._engines = SoakEngines(
+            random.Random(source.getrandbits(64)),
+            endpoints,
+            lambda engine, request_id: self._checker.check_run(engine, request_id, time.monotonic()),
+            self._findings.count,
+        )
         self._operators = SoakOperators(
             endpoints,
             self._history,
@@ -57,7 +63,6 @@
             random.Random(source.getrandbits(64)),
             size.change_period_s,
         )
-        self._checker = ConsistencyChecker(self._history, self._fleet, self._findings)
         self._clients = [
             SoakClient(
                 f"{node.name}-{number}",
@@ -84,12 +89,16 @@
         return SoakReport(self._seed, tuple(self._findings.found), counts)
 
     async def _run_phases(self) -> None:
-        if not await self._start_serving():
+        first_steps = asyncio.create_task(self._execute(make_first_steps(self._seed, self._size)))
+        serving = await self._start_serving()
+        await first_steps
+        if not serving:
             self._findings.add(Rule.ACKNOWLEDGED, "the first configuration was not taken")
             return
         loop = asyncio.get_running_loop()
         clients = [loop.create_task(client.run()) for client in self._clients]
         changes = loop.create_task(self._operators.run())
+        self._engines.begin_replacements()
         await self._execute_plan()
         self._operators.stop_requested.set()
         await changes
@@ -112,15 +121,20 @@
         return False
 
     async def _execute_plan(self) -> None:
+        began_at = time.monotonic()
+        await self._execute(make_plan(self._seed, self._size))
+        await asyncio.sleep(max(0.0, began_at + self._size.seconds - time.monotonic()))
+
+    async def _execute(self, steps: tuple[Step, ...]) -> None:
+        """Execute steps at their times from now on; return when all have ended."""
         began_at = time.monotonic()
         running: set[asyncio.Task[None]] = set()
-        for step in make_plan(self._seed, self._size):
+        for step in steps:
             await asyncio.sleep(max(0.0, began_at + step.at_s - time.monotonic()))
             task = asyncio.get_running_loop().create_task(self._fleet.execute(step))
             running.add(task)
             task.add_done_callback(running.discard)
             self._findings.count(f"step {step.kind.value}")
-        await asyncio.sleep(max(0.0, began_at + self._size.seconds - time.monotonic()))
         await asyncio.gather(*running)
 
     async def _check_final_configurations(self) -> None:
--- a/tests/unit/lab/test_soak.py
+++ b/tests/unit/lab/test_soak.py
@@ -24,15 +24,25 @@
 )
 from springmux.lab.soak.consistency_checker import (
     CLOSE_RACE_S,
+    DRAIN_S,
     IN_FORCE_S,
     REGRESSION_GRACE_S,
     ConsistencyChecker,
 )
+from springmux.lab.soak.engines import StandInEngine
 from springmux.lab.soak.findings import Findings, Rule
 from springmux.lab.soak.fleet import SoakFleet, SoakNode
 from springmux.lab.soak.history import ConfigurationHistory
 from springmux.lab.soak.http_connection import Response
-from springmux.lab.soak.plan import QUIET_S, SETTLE_S, SignalKind, SoakSize, make_plan
+from springmux.lab.soak.plan import (
+    FIRST_STEPS_S,
+    QUIET_S,
+    SETTLE_S,
+    SignalKind,
+    SoakSize,
+    make_first_steps,
+    make_plan,
+)
 from springmux.vocabulary.names import OrderId
 
 SIZE = SoakSize()
@@ -60,6 +70,17 @@
         assert {step.node for step in steps if step.kind is kind} == set(range(SIZE.nodes))
 
 
+def test_first_starts_are_struck_but_for_one_controller() -> None:
+    plans = [make_first_steps(seed, SIZE) for seed in range(60)]
+    assert make_first_steps(7, SIZE) == plans[7]
+    killed = [{step.node for step in plan if step.kind is SignalKind.KILL} for plan in plans]
+    assert {len(nodes) for nodes in killed} == {0, 1, 2}
+    assert set().union(*killed) == set(range(SIZE.controllers))
+    steps = [step for plan in plans for step in plan]
+    assert {step.kind for step in steps} == {SignalKind.KILL, SignalKind.FREEZE}
+    assert all(step.node < SIZE.controllers and step.at_s < FIRST_STEPS_S for step in steps)
+
+
 def test_signals_overlap() -> None:
     """With most seeds a node gets a signal while another node is down or frozen."""
     overlapping = 0
@@ -179,6 +200,31 @@
     assert len(harness.findings.found) == 2
 
 
+ENGINE_STOPPED_AT = 11.0
+
+
+def runs_at_a_stopped_engine(harness: CheckerHarness, sent_at: float, run_at: float) -> list[Rule]:
+    """Let an engine run a request after its stop was acknowledged; return the broken rules."""
+    engine = StandInEngine("first-1", "first", [], random.Random(1), lambda engine, request_id: None)
+    engine.stop_acknowledged_at = ENGINE_STOPPED_AT
+    harness.checker.record_sent("request", harness.node, MOVING_PATH, NEW_KEY, sent_at)
+    harness.checker.check_run(engine, "request", run_at)
+    return [finding.rule for finding in harness.findings.found]
+
+
+def test_a_request_at_a_stopped_engine_is_found_unless_it_is_early_or_its_node_disturbed(
+    tmp_path: Path,
+) -> None:
+    last = ENGINE_STOPPED_AT + DRAIN_S
+    assert runs_at_a_stopped_engine(CheckerHarness(tmp_path), last, last + 0.01) == [Rule.DRAINED]
+    assert runs_at_a_stopped_engine(CheckerHarness(tmp_path), last - 0.1, last - 0.05) == []
+    disturbed = CheckerHarness(tmp_path, undisturbed=False)
+    assert runs_at_a_stopped_engine(disturbed, last, last + 0.01) == []
+    stopping = CheckerHarness(tmp_path)
+    stopping.node.stopping = True
+    assert runs_at_a_stopped_engine(stopping, last, last + 0.01) == []
+
+
 def test_refused_requests_are_recorded_to_check_that_none_ran(tmp_path: Path) -> None:
     harness = CheckerHarness(tmp_path)
     harness.respond(MOVING_PATH, NEW_KEY, 11.0, 503)
