Soak: replacements end before the final check, and an engine that ended reports nothing

An engine whose silence outlasted it sent a heartbeat after its end, which no engine does.

Change: the replacements under way are finished before the final check, with as many engines as at the start.

--- a/src/springmux/lab/soak/engine_pool.py
+++ b/src/springmux/lab/soak/engine_pool.py
@@ -53,6 +53,8 @@
         self._numbers = itertools.count()
         self._current: dict[str, list[StandInEngine]] = {service: [] for service in SERVICES}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._replacements: list[asyncio.Task[None]] = []
+        self._last_replacement = asyncio.Event()
         self.engines: list[StandInEngine] = []
         """All engines, those that ended included."""
 
@@ -64,8 +66,13 @@
 
     def begin_replacements(self) -> None:
         """Replace engines from now on."""
-        for service in SERVICES:
-            self._start_task(self._replace_forever(service))
+        self._replacements = [self._start_task(self._replace_engines(service)) for service in SERVICES]
+
+    async def end_replacements(self) -> None:
+        """Finish the replacements under way and begin no others; every service then has all its engines."""
+        self._last_replacement.set()
+        await asyncio.gather(*self._replacements)
+        await asyncio.sleep(REPORT_PERIOD_S)
 
     async def stop(self) -> None:
         """Stop the reports and all engines."""
@@ -79,8 +86,10 @@
         """Return how many times the engines together ran a request."""
         return sum(engine.runs.get(request_id, 0) for engine in self.engines)
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._tasks.add(asyncio.get_running_loop().create_task(coroutine))
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        return task
 
     async def _add(self, service: str) -> None:
         name = f"{service}-{next(self._numbers)}"
@@ -92,13 +101,13 @@
         self._start_task(self._report_forever(engine))
 
     async def _report_forever(self, engine: StandInEngine) -> None:
-        while True:
+        while not engine.ended:
             if engine.reports:
                 await engine.report()
             await asyncio.sleep(REPORT_PERIOD_S)
 
-    async def _replace_forever(self, service: str) -> None:
-        while True:
+    async def _replace_engines(self, service: str) -> None:
+        while not self._last_replacement.is_set():
             await asyncio.sleep(self._random.uniform(*REPLACEMENT_PAUSE_S))
             engine = self._current[service].pop(0)
             replaced_first = self._random.random() < 0.5
@@ -117,8 +126,7 @@
         self._count("engine left" if leaves_first else "engine drained")
         if not acknowledged:
             self._count("engine stopped without an acknowledgement")
-        if self._random.random() < CRASH_SHARE:
-            self._start_task(self._crash_other(service))
+        crash = self._start_task(self._crash_other(service)) if self._random.random() < CRASH_SHARE else None
         serves_s = DRAIN_S + self._random.uniform(*LINGER_S)
         if not leaves_first and self._random.random() < SILENT_SHARE:
             self._start_task(self._silence(engine))
@@ -126,6 +134,8 @@
         if not leaves_first:
             await self._until_acknowledged(engine.leave)
         engine.end()
+        if crash is not None:
+            await crash
 
     async def _until_acknowledged(self, report: Callable[[], Coroutine[Any, Any, bool]]) -> bool:
         loop = asyncio.get_running_loop()
--- a/src/springmux/lab/soak/engines.py
+++ b/src/springmux/lab/soak/engines.py
@@ -46,6 +46,7 @@
         self.draining = False
         self.reports = True
         """Whether the engine sends heartbeats now; late heartbeats are sent once this is true again."""
+        self.ended = False
         self.stop_acknowledged_at: float | None = None
         """When a node first acknowledged that the engine drains or has left, in monotonic seconds."""
         self.runs: dict[str, int] = {}
@@ -67,7 +68,7 @@
 
     def end(self) -> None:
         """Stop listening and reset every open connection, as when the process ends or crashes."""
-        self.reports = False
+        self.ended = True
         if self._server is not None:
             self._server.close()
         for writer in tuple(self._connections):
--- a/src/springmux/lab/soak/run.py
+++ b/src/springmux/lab/soak/run.py
@@ -102,6 +102,7 @@
         await self._execute_plan()
         self._operators.stop_requested.set()
         await changes
+        await self._engines.end_replacements()
         await asyncio.sleep(IN_FORCE_S + DISTURBANCE_EFFECT_S)
         await self._check_final_configurations()
         await _stop_clients(clients)
