Tests of draining engines in a file of their own, and the reports of engines in a support module

The scenario of late heartbeats stood in test_engine_reports.py beside three others, and both set their engines up with the same lines. No test, assertion or bound changed.

--- a/tests/unit/bad_days/test_engine_reports.py
+++ b/tests/unit/bad_days/test_engine_reports.py
@@ -1,81 +1,28 @@
-"""Reports of engines: a DELETE without a drain, late heartbeats, and isolated nodes.
-
-The real endpoints pass events to a real directory, whose view the forwarders of a fleet use.
-"""
+"""Reports of engines: a DELETE without a drain, late heartbeats, and isolated nodes."""
 
 from __future__ import annotations
 
-import asyncio
-import random
-from collections.abc import Callable
 from typing import Any
 
 import msgspec
 import pytest
 
 from springmux.agent.directory import engine_directory as directory_module
-from springmux.agent.directory.engine_directory import EngineDirectory
 from springmux.agent.directory.entry import DirectoryEntry, refresh_entry
 from springmux.agent.readiness import CUT_OFF, JOINING, STARTING, STOPPING
-from springmux.coordination.identifiers import NodeId
-from springmux.coordination.state_machine import Event, Tick
 from springmux.node.gateway import engine_endpoints
-from springmux.node.gateway.engine_endpoints import EngineEndpoints, HeartbeatBody
+from springmux.node.gateway.engine_endpoints import HeartbeatBody
 from springmux.vocabulary.engines import EngineRecord, EngineStatus
 from tests.unit.bad_days import gateway_rules as rules
+from tests.unit.bad_days.engine_reports import SERVICE_S, EngineReports, add_reporting_engines
 from tests.unit.bad_days.gateway_fleet import SAFE, SETTLED_S, STREAM, TEXT, V1, GatewayFleet
-from tests.unit.bad_days.model_engines import Behaviour, ModelEngine
-from tests.unit.node.gateway.scripted_engines import now, play
-from tests.unit.node.gateway.stand_ins import RecordingClient
+from tests.unit.node.gateway.scripted_engines import play
 
 LEAVES_AT, ENDS_AT, END = 4.0, 6.0, 8.0
 HEARTBEAT_DELAY_S = 0.3
 """Time after the engine's departure at which a heartbeat that it sent earlier arrives."""
 AFTER_TIMEOUT_S = 3.0
-MONITOR_PERIOD_S = 0.1
 REQUESTS_PER_S = 40.0
-SERVICE_S = 0.2
-
-
-class ReportingNode:
-    """Stands in for the agent of the node to which engines report."""
-
-    def __init__(self, reason: str = "") -> None:
-        self.not_ready_reason = reason
-        self.ready = not reason
-
-
-class EngineReports:
-    """Delivers reports of engines to the directory that the nodes of a fleet use."""
-
-    def __init__(self, fleet: GatewayFleet, reason: str = "") -> None:
-        self._fleet = fleet
-        self.directory = EngineDirectory(NodeId("n0"), random.Random(1))
-        self._endpoints = EngineEndpoints(ReportingNode(reason), self._handle_event)  # type: ignore[arg-type]
-
-    async def put(self, engine: str, sequence: int, state: str = "ready") -> int:
-        """Send a heartbeat and return the status of the response."""
-        heartbeat = HeartbeatBody(TEXT, f"{engine}:80", V1, slots=32, state=state, sequence=sequence)  # type: ignore[arg-type]
-        return (await self._endpoints.handle("PUT", engine, _request_with(heartbeat))).status
-
-    async def delete(self, engine: str) -> int:
-        """Send a DELETE and return the status of the response."""
-        return (await self._endpoints.handle("DELETE", engine, RecordingClient(body=b""))).status
-
-    async def monitor_heartbeats(self) -> None:
-        """Let the directory notice missing heartbeats until the task is cancelled."""
-        while True:
-            await asyncio.sleep(MONITOR_PERIOD_S)
-            self._handle_event(Tick())
-
-    def _handle_event(self, event: Event) -> None:
-        self.directory.handle(event, now())
-        for node in self._fleet.nodes:
-            node.core.update_engines(self.directory.view, now())
-
-
-def _request_with(heartbeat: HeartbeatBody) -> RecordingClient:
-    return RecordingClient(body=msgspec.json.encode(heartbeat))
 
 
 def engine_leaves(drains_first: bool) -> GatewayFleet:
@@ -86,8 +33,8 @@
         fleet = GatewayFleet(8, engines=0)
         fleets.append(fleet)
         reports = EngineReports(fleet)
+        add_reporting_engines(fleet)
         for name in ("e0", "e1"):
-            fleet.engine_client.engines[name] = ModelEngine(name, Behaviour(service_s=SERVICE_S))
             assert await reports.put(name, 1) == 200
         fleet.generate_load(SETTLED_S, END, REQUESTS_PER_S, kinds=(SAFE, STREAM))
         fleet.schedule_coroutine(
@@ -139,75 +86,6 @@
     assert attempts_after_it_left(engine_leaves(drains_first=True)) > 0
 
 
-DRAIN_S = 2.0
-"""Time after the acknowledgement in which requests may still reach a draining engine."""
-HEARTBEAT_S = 1.0
-LATE_HEARTBEAT_AT = 9.5
-OTHER_FAILS_AT = 7.5
-LATE_END = 11.0
-OTHER_FAULTS: dict[str, Callable[[ModelEngine], object]] = {
-    "crashes": ModelEngine.crash,
-    "stops responding": ModelEngine.stop_responding,
-    "is full": lambda engine: setattr(engine.behaviour, "slots", 0),
-    "fails requests": lambda engine: setattr(engine.behaviour, "failure_share", 1.0),
-    "loses its address": lambda engine: setattr(engine, "identity", "page-1"),
-}
-
-
-def other_engine_fails_while_a_heartbeat_is_late(fault: str) -> GatewayFleet:
-    """Let e0 drain and its next heartbeat be late; meanwhile e1, the only other engine, has a fault."""
-    fleets: list[GatewayFleet] = []
-
-    async def scenario() -> None:
-        fleet = GatewayFleet(12, engines=0)
-        fleets.append(fleet)
-        reports = EngineReports(fleet)
-        monitor = asyncio.create_task(reports.monitor_heartbeats())
-        for name in ("e0", "e1"):
-            fleet.engine_client.engines[name] = ModelEngine(name, Behaviour(service_s=SERVICE_S))
-        for sequence in range(int(LATE_END / HEARTBEAT_S)):
-            at = sequence * HEARTBEAT_S
-            fleet.schedule_coroutine(at, lambda sequence=sequence: reports.put("e1", sequence))
-            if at < LEAVES_AT:
-                fleet.schedule_coroutine(at, lambda sequence=sequence: reports.put("e0", sequence))
-        for sequence, at in ((20, LEAVES_AT), (21, LATE_HEARTBEAT_AT)):
-            fleet.schedule_coroutine(at, lambda sequence=sequence: reports.put("e0", sequence, "draining"))
-        fleet.generate_load(SETTLED_S, LATE_END, REQUESTS_PER_S)
-        fleet.schedule(OTHER_FAILS_AT, lambda: OTHER_FAULTS[fault](fleet.engine_client.engines["e1"]))
-        await fleet.run(LATE_END + AFTER_TIMEOUT_S)
-        monitor.cancel()
-
-    play(scenario())
-    return fleets[0]
-
-
-def attempts_after_its_drain(fleet: GatewayFleet) -> int:
-    latest = LEAVES_AT + DRAIN_S
-    return sum(name == "e0" and at - fleet.started_at > latest for at, name in fleet.engine_client.attempts)
-
-
-@pytest.mark.parametrize("fault", OTHER_FAULTS)
-def test_a_draining_engine_whose_heartbeat_is_late_is_no_last_resort(fault: str) -> None:
-    """Guards against requests to a draining engine that is taken for lost, once no other is usable."""
-    fleet = other_engine_fails_while_a_heartbeat_is_late(fault)
-    rules.check_safety(fleet)
-    assert attempts_after_its_drain(fleet) == 0
-    assert rules.success_share(fleet, SETTLED_S, OTHER_FAILS_AT - 1.0) == 1.0
-    assert rules.success_share(fleet, OTHER_FAILS_AT + 1.0, LATE_END) < 0.5, "e1 was to be unusable"
-
-
-def test_checker_detects_a_drain_that_is_hidden_by_lost(monkeypatch: pytest.MonkeyPatch) -> None:
-    def lost_first(entry: DirectoryEntry) -> EngineStatus:
-        if entry.left:
-            return EngineStatus.LEFT
-        if entry.lost:
-            return EngineStatus.LOST
-        return EngineStatus.DRAINING if entry.draining else EngineStatus.READY
-
-    monkeypatch.setattr(DirectoryEntry, "status", property(lost_first))
-    assert attempts_after_its_drain(other_engine_fails_while_a_heartbeat_is_late("crashes")) > 0
-
-
 def capacity_after_a_late_heartbeat() -> int:
     """Return the listed capacity after a heartbeat with 8 slots and an older, delayed one with 32."""
     capacities: list[int] = []
@@ -216,7 +94,7 @@
         reports = EngineReports(GatewayFleet(9, engines=0))
         for sequence, slots in ((1, 32), (3, 8), (2, 32)):
             heartbeat = HeartbeatBody(TEXT, "e0:80", V1, slots=slots, sequence=sequence)
-            await reports._endpoints.handle("PUT", "e0", _request_with(heartbeat))
+            await reports.put_heartbeat("e0", heartbeat)
         capacities.extend(record.capacity for record in reports.directory.view.engines.values())
 
     play(scenario())
