Soak: the drain time has one home; the first starts' model doesn't claim freezes

DRAIN_S stood in the engines' pool and in the checker with the same value and meaning. The docstring of FoundingRun named freezes, which it doesn't play. No check, bound or behaviour changed.

--- a/src/springmux/lab/soak/consistency_checker.py
+++ b/src/springmux/lab/soak/consistency_checker.py
@@ -6,7 +6,7 @@
 
 from springmux.lab.soak.availability import AvailabilityChecker
 from springmux.lab.soak.configurations import UNKNOWN_KEY, UNKNOWN_ROUTE
-from springmux.lab.soak.engines import StandInEngine
+from springmux.lab.soak.engines import DRAIN_S, StandInEngine
 from springmux.lab.soak.findings import Findings, Rule
 from springmux.lab.soak.fleet import SoakFleet, SoakNode
 from springmux.lab.soak.history import ConfigurationHistory
@@ -18,8 +18,6 @@
 """Time from the first response that shows a version until its node may no longer apply an older one."""
 CLOSE_RACE_S = 0.2
 """Time after a request in which its connection may close without a response, as the two may cross."""
-DRAIN_S = 2.0
-"""Time after the acknowledgement of an engine's stop in which requests may still reach the engine."""
 SERVED = 200
 FIRST_SERVER_ERROR = 500
 REFUSED_STATUSES = frozenset({408, 421, 429, 503})
--- a/src/springmux/lab/soak/engine_pool.py
+++ b/src/springmux/lab/soak/engine_pool.py
@@ -9,16 +9,14 @@
 from typing import Any
 
 from springmux.lab.soak.configurations import SERVICES
-from springmux.lab.soak.engines import ControlEndpoint, StandInEngine
+from springmux.lab.soak.engines import DRAIN_S, ControlEndpoint, StandInEngine
 
 ENGINES_PER_SERVICE = 2
 REPORT_PERIOD_S = 1.0
 REPLACEMENT_PAUSE_S = (1.0, 4.0)
 """Range of the time between the end of an engine's replacement and the next one of its service."""
-DRAIN_S = 2.0
-"""Time for which a stopping engine serves on after the acknowledgement, at least."""
 LINGER_S = (1.0, 6.0)
-"""Range of the time for which it serves on beyond that."""
+"""Range of the time for which a stopping engine serves on after requests may no longer reach it."""
 SILENCE_S = (3.5, 6.0)
 """Range of the time by which a stopping engine's heartbeats are late, long enough for it to be lost."""
 SILENT_SHARE = 0.7
--- a/src/springmux/lab/soak/engines.py
+++ b/src/springmux/lab/soak/engines.py
@@ -13,6 +13,8 @@
 from springmux.lab.soak.http_connection import read_message, request_once
 
 SLOTS = 64
+DRAIN_S = 2.0
+"""Time after the acknowledgement of an engine's stop in which requests may still reach the engine."""
 REPORT_TIMEOUT_S = 1.0
 LONGEST_WORK_S = 1.2
 SHORT_WORK_S = 0.004
--- a/tests/support/founding_run.py
+++ b/tests/support/founding_run.py
@@ -1,4 +1,4 @@
-"""Random first starts: kills before and after the folder's mark, freezes, cuts, delays and wiped disks."""
+"""Random first starts: kills before and after the folder's mark, cuts, delays and wiped disks."""
 
 from __future__ import annotations
 
--- a/tests/unit/lab/test_soak.py
+++ b/tests/unit/lab/test_soak.py
@@ -24,12 +24,11 @@
 )
 from springmux.lab.soak.consistency_checker import (
     CLOSE_RACE_S,
-    DRAIN_S,
     IN_FORCE_S,
     REGRESSION_GRACE_S,
     ConsistencyChecker,
 )
-from springmux.lab.soak.engines import StandInEngine
+from springmux.lab.soak.engines import DRAIN_S, StandInEngine
 from springmux.lab.soak.findings import Findings, Rule
 from springmux.lab.soak.fleet import SoakFleet, SoakNode
 from springmux.lab.soak.history import ConfigurationHistory
