What clients make a gateway process hold is counted, and someone yields

Seen by callers: a node's process ran out of memory, or answered nobody any more, when few clients sent unfinished bodies, bodies over the limit, many whole bodies, pipelined requests whose responses they did not read, or more connections than there were descriptors. All within legal sizes.

Cause: every bound was one of a connection, and 4,096 connections a listener were allowed. Bodies were kept as lists of parts and copied twice; a response that its client did not read stayed in the transport, and pipelined requests added to it without an end; reads took 256 KB at once and tiny chunks were decoded in one go; connections were bounded above the machine's descriptors, and nobody idle made room.

Change: node/resources. MemoryBudget counts heads, bodies, pipelined bytes and unread responses of all listeners before they are held, in a quarter of the process's memory. The client that stalls longest yields; unfinished bodies yield to small requests at once; a complete request never yields, since an engine may run it; a quarter of the budget is for requests that hold 16 KiB at most; who alone holds anything is served whatever its size. 503 is sent only where the request has not run, else the connection is reset. ConnectionLimit divides the descriptors and closes the connection idle longest. Whatever an engine sends while the client does not read is bounded, too. New settings memory_mb and max_descriptors, filled by the platform's template.

--- a/src/springmux/gateway/refusals.py
+++ b/src/springmux/gateway/refusals.py
@@ -33,6 +33,8 @@
     SLOW_REQUEST = "slow_request"
     HEADERS_TOO_LARGE = "headers_too_large"
     TOO_MANY_CONNECTIONS = "too_many_connections"
+    OVERLOADED = "overloaded"
+    """The process holds as many bytes of clients as it may."""
     INTERNAL_FAULT = "internal_fault"
     """An internal error of the gateway."""
     STOPPED = "stopped"
--- a/src/springmux/node/gateway/attempt.py
+++ b/src/springmux/node/gateway/attempt.py
@@ -40,7 +40,10 @@
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
 """Endings of an event in a stream: a blank line (HTML standard, server-sent events)."""
 MAX_BUFFERED_RESPONSE_BYTES = 1 << 20
-"""A response that is not a stream is buffered up to this size before any of it is sent to the client."""
+"""A response that is not a stream is buffered up to this size before any of it is sent to the client.
+
+Less is buffered if the process has no room: the engine then waits for the client to read.
+"""
 
 
 class Attempt:
@@ -158,8 +161,8 @@
             self._record_event()
             chunks.append(data)
             size_bytes += len(data)
-            if size_bytes > MAX_BUFFERED_RESPONSE_BYTES:
-                return await self._relay_large(upstream, head, b"".join(chunks))
+            if size_bytes > MAX_BUFFERED_RESPONSE_BYTES or not exchange.try_hold(len(data)):
+                return await self._relay_large(upstream, head, chunks)
         self._classify_status(head.status)
         if head.status >= 500:
             return AttemptResult(
@@ -169,13 +172,15 @@
         return AttemptResult(None)
 
     async def _relay_large(
-        self, upstream: EngineExchange, head: ResponseHead, buffered: bytes
+        self, upstream: EngineExchange, head: ResponseHead, chunks: list[bytes]
     ) -> AttemptResult:
+        """Forward a response as it arrives, after the ``chunks`` that were read so far."""
         exchange = self._request.exchange
         if self._watchdog is not None:
             self._watchdog.stop()
         exchange.begin(head.status, self._services.headers.response_headers(head), head.length)
-        await exchange.write(buffered)
+        while chunks:
+            await exchange.write(chunks.pop(0))
         while data := await upstream.read():
             await exchange.write(data)
         exchange.end()
--- a/src/springmux/node/gateway/gateway_node.py
+++ b/src/springmux/node/gateway/gateway_node.py
@@ -6,6 +6,8 @@
 import os
 import random
 
+import msgspec
+
 from springmux.agent.agent import NodeAgent
 from springmux.agent.events import StopBegun, StopFinished
 from springmux.agent.readiness import STOPPING
@@ -32,6 +34,7 @@
 from springmux.node.peer.agent_codec import AgentCodec
 from springmux.node.peer.handshake import HandshakeAuthenticator
 from springmux.node.peer.transport import PeerTransport
+from springmux.node.resources.process_resources import ProcessResources
 from springmux.node.service_rates import ServiceRates
 from springmux.node.storage.opening import OpenedStorage
 from springmux.node.storage.worker import StorageWorker
@@ -52,7 +55,9 @@
 While it is not ready, clients are sent to other nodes that can serve them.
 """
 CONTROL_BODY_BYTES = 16 << 20
-CONTROL_LIMITS = ServerLimits(max_body_bytes=CONTROL_BODY_BYTES, idle_timeout_s=30.0)
+CONTROL_IDLE_TIMEOUT_S = 30.0
+READY_BODY_BYTES = 1024
+"""A readiness check has no body."""
 
 
 class GatewayNode:
@@ -72,6 +77,7 @@
         self._stopping = False
         self._loads_timer: asyncio.TimerHandle | None = None
         self._rates_timer: asyncio.TimerHandle | None = None
+        self._resources = ProcessResources(settings.memory_mb, settings.max_descriptors)
         self._client = PooledEngineClient()
         self._rates = ServiceRates()
         self.metrics = NodeMetrics()
@@ -84,11 +90,23 @@
         counters = self.agent.gateway.counters
         self._refusals = RefusalLog(counters, log, names.request_id)
         self.metrics.add_source(lambda: counter_values(counters))
+        self.metrics.add_source(self._resources.metric_values)
         forwarder = Forwarder(self._make_services(names, randomness))
         control = ControlInterface(settings, self.agent, self.driver, self.metrics, self, self._rates)
-        self._front = HttpServer(forwarder.handle, self._front_limits, self._refusals.record_server_refusal)
-        self._control = HttpServer(control.handle, lambda: CONTROL_LIMITS)
-        self._ready = HttpServer(ready_handler(control), lambda: CONTROL_LIMITS)
+        self._front = HttpServer(
+            forwarder.handle, self._front_limits, self._refusals.record_server_refusal, self._resources
+        )
+        shares = self._resources.connections
+        control_limits = ServerLimits(
+            max_body_bytes=CONTROL_BODY_BYTES,
+            idle_timeout_s=CONTROL_IDLE_TIMEOUT_S,
+            max_connections=shares.control,
+        )
+        ready_limits = msgspec.structs.replace(
+            control_limits, max_body_bytes=READY_BODY_BYTES, max_connections=shares.ready
+        )
+        self._control = HttpServer(control.handle, lambda: control_limits, resources=self._resources)
+        self._ready = HttpServer(ready_handler(control), lambda: ready_limits, resources=self._resources)
 
     def readiness(self) -> ReadyBody:
         """Return whether clients should be sent to this node, and why not."""
@@ -179,6 +197,7 @@
             max_body_bytes=limits.max_body_bytes,
             header_timeout_s=limits.header_timeout_ms / 1000.0,
             idle_timeout_s=limits.idle_timeout_ms / 1000.0,
+            max_connections=self._resources.connections.front,
         )
 
     def _make_agent(self, opened: OpenedStorage, randomness: random.Random) -> NodeAgent:
--- a/src/springmux/node/gateway/refusal_log.py
+++ b/src/springmux/node/gateway/refusal_log.py
@@ -18,6 +18,7 @@
     ServerRefusal.TOO_SLOW: RefusalReason.SLOW_REQUEST,
     ServerRefusal.HEADERS_TOO_LARGE: RefusalReason.HEADERS_TOO_LARGE,
     ServerRefusal.TOO_MANY_CONNECTIONS: RefusalReason.TOO_MANY_CONNECTIONS,
+    ServerRefusal.OVERLOADED: RefusalReason.OVERLOADED,
     ServerRefusal.HANDLER_FAILED: RefusalReason.INTERNAL_FAULT,
     ServerRefusal.STOPPED: RefusalReason.STOPPED,
 }
--- a/src/springmux/node/gateway/settings.py
+++ b/src/springmux/node/gateway/settings.py
@@ -17,6 +17,7 @@
 from springmux.coordination.identifiers import Address, NodeId
 from springmux.node.addresses import MAX_PORT, check_address
 from springmux.node.gateway.string_settings import base_type, parse_strings
+from springmux.node.resources.process_resources import DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_MB
 from springmux.vocabulary.errors import FieldError, SettingsError
 
 MAX_SHOWN_LENGTH = 80
@@ -38,6 +39,8 @@
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=3_600_000)]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+Megabytes = Annotated[float, msgspec.Meta(ge=100, le=1_000_000)]
+Descriptors = Annotated[int, msgspec.Meta(ge=300, le=1_000_000)]
 TimeoutSeconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 
 
@@ -54,6 +57,8 @@
     requests, so that a key is rejected everywhere ``revocation_ms`` after its removal was acknowledged.
     ``contact_ms``: time without a disturbance after which a node counts as in contact with the fleet.
     ``change_in_force_ms``: time within which an acknowledged change is active at every node in contact.
+    ``memory_mb``: memory that the process may use, in megabytes; clients may fill a quarter of it.
+    ``max_descriptors``: descriptors that the process may open; a lower ``RLIMIT_NOFILE`` applies instead.
 
     Any value may also be written as a string, as in an environment variable. An empty string means the
     default.
@@ -84,6 +89,8 @@
     rollback_ms: Milliseconds = 5000
     stop_grace_s: Seconds = 8.0
     order_timeout_s: TimeoutSeconds = 4.0
+    memory_mb: Megabytes = DEFAULT_MEMORY_MB
+    max_descriptors: Descriptors = DEFAULT_MAX_DESCRIPTORS
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
     @property
--- a/src/springmux/node/http/bodies.py
+++ b/src/springmux/node/http/bodies.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from typing import Protocol
+import re
+from typing import NamedTuple, Protocol
 
 from springmux.node.http.framing import content_length, transfer_codings
 from springmux.node.http.heads import MalformedMessageError
@@ -14,7 +15,11 @@
 # implementations.
 _MAX_SIZE_DIGITS = 15
 _MAX_LINE_BYTES = 4096
+_LINE_END = b"\r\n"
+_PLAIN_SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,%d})\r\n" % _MAX_SIZE_DIGITS)
 _MAX_TRAILER_BYTES = 16_384
+# Lines of a request's chunked body that are decoded without returning to the event loop.
+_MAX_LINES_AT_ONCE = 256
 
 
 class BodyDecoder(Protocol):
@@ -25,6 +30,11 @@
     rest: bytes
     """The received bytes after the end of the body; set once ``done``."""
 
+    @property
+    def undecoded_bytes(self) -> int:
+        """Received bytes that the next call of :meth:`feed` will decode, although it gets no others."""
+        ...
+
     def feed(self, data: bytes) -> bytes:
         """Return the body's bytes in ``data``.
 
@@ -41,6 +51,8 @@
         self.done = length == 0
         self.rest = b""
 
+    undecoded_bytes = 0
+
     def feed(self, data: bytes) -> bytes:
         """Return the body's bytes in ``data``."""
         if len(data) < self._remaining:
@@ -60,6 +72,8 @@
         self.done = False
         self.rest = b""
 
+    undecoded_bytes = 0
+
     def feed(self, data: bytes) -> bytes:
         """Return ``data``, all of which belongs to the body."""
         return data
@@ -72,12 +86,24 @@
     TRAILER = enum.auto()
 
 
+class _Chunk(NamedTuple):
+    content: bytes
+    end: int
+    """Position after the line break that ends the chunk."""
+
+
 class ChunkedDecoder:
-    """Decodes a chunked body (RFC 9112, section 7.1). Trailers are discarded."""
+    """Decodes a chunked body (RFC 9112, section 7.1). Trailers are discarded.
 
-    def __init__(self) -> None:
+    :param max_lines: most lines that one call of :meth:`feed` decodes. It keeps the bytes after them, and
+        continues when it is called again. Tiny chunks take long to decode.
+    """
+
+    def __init__(self, max_lines: int | None = None) -> None:
         self.done = False
         self.rest = b""
+        self._max_lines = max_lines
+        self._undecoded = b""
         self._state = _State.SIZE
         self._remaining = 0
         self._partial_line = b""
@@ -88,16 +114,24 @@
 
         :raises MalformedMessageError: the framing is not valid.
         """
-        data = self._partial_line + data
-        self._partial_line = b""
+        data = self._partial_line + self._undecoded + data
+        self._partial_line = self._undecoded = b""
         chunks: list[bytes] = []
-        position = 0
+        position = lines = 0
         while not self.done and position < len(data):
+            if lines == self._max_lines:
+                self._undecoded = data[position:]
+                break
+            if self._state is _State.SIZE and (chunk := self._whole_chunk(data, position)):
+                chunks.append(chunk.content)
+                position = chunk.end
+                lines += 1
+                continue
             if self._state is _State.DATA:
-                chunk = data[position : position + self._remaining]
-                position += len(chunk)
-                chunks.append(chunk)
-                self._consume_data(len(chunk))
+                content = data[position : position + self._remaining]
+                position += len(content)
+                chunks.append(content)
+                self._consume_data(len(content))
                 continue
             end = data.find(b"\r\n", position)
             if end < 0:
@@ -105,10 +139,27 @@
                 break
             self._consume_line(data[position:end])
             position = end + 2
+            lines += 1
         if self.done:
             self.rest = data[position:]
         return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
+    @property
+    def undecoded_bytes(self) -> int:
+        """Received bytes that the next call of :meth:`feed` will decode."""
+        return len(self._undecoded)
+
+    def _whole_chunk(self, data: bytes, position: int) -> _Chunk | None:
+        """Return the chunk at ``position`` if it is whole and has no extensions, as nearly all do."""
+        size_line = _PLAIN_SIZE_LINE.match(data, position)
+        if size_line is None:
+            return None
+        begin = size_line.end()
+        end = begin + int(size_line[1], 16)
+        if end == begin or data[end : end + len(_LINE_END)] != _LINE_END:
+            return None
+        return _Chunk(data[begin:end], end + len(_LINE_END))
+
     def _consume_data(self, size_bytes: int) -> None:
         self._remaining -= size_bytes
         if self._remaining == 0:
@@ -155,7 +206,7 @@
     if codings:
         if codings != [b"chunked"] or head.header(b"content-length") is not None:
             raise MalformedMessageError("the transfer coding is not chunked, or comes with a Content-Length")
-        return ChunkedDecoder(), None
+        return ChunkedDecoder(_MAX_LINES_AT_ONCE), None
     try:
         length = content_length(head.headers)
     except ValueError as error:
--- a/src/springmux/node/http/client_connection.py
+++ b/src/springmux/node/http/client_connection.py
@@ -6,7 +6,17 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
-from springmux.node.http.sockets import detect_unresponsive_peer, has_pending_input, send_without_delay
+from springmux.node.http.sockets import (
+    detect_unresponsive_peer,
+    has_pending_input,
+    limit_read_size,
+    limit_receive_buffer,
+    send_without_delay,
+)
+
+# Most bytes that one read takes from the kernel, so that little is held of a response that its client
+# does not read.
+_MAX_READ_BYTES = 32 * 1024
 
 
 class ConnectionExchange(Protocol):
@@ -47,6 +57,8 @@
         self._transport = cast(asyncio.Transport, transport)
         send_without_delay(self._transport)
         detect_unresponsive_peer(self._transport)
+        limit_read_size(self._transport, _MAX_READ_BYTES)
+        limit_receive_buffer(self._transport)
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the exchange, or abort the connection if there is none: the bytes are unsolicited."""
--- a/src/springmux/node/http/client_exchange.py
+++ b/src/springmux/node/http/client_exchange.py
@@ -14,7 +14,7 @@
 from springmux.node.http.types import ExchangeFailedError, FailureKind, ResponseHead
 
 # Received bytes that may be buffered for the consumer before reading from the engine pauses.
-_MAX_UNREAD_BYTES = 256 * 1024
+_MAX_UNREAD_BYTES = 32 * 1024
 # A response's head has a few hundred bytes; a head over this limit is rejected as malformed.
 _MAX_HEAD_BYTES = 65_536
 
--- a/src/springmux/node/http/connection_owner.py
+++ b/src/springmux/node/http/connection_owner.py
@@ -6,9 +6,11 @@
 
 from springmux.node.http.server_exchange import HttpServerExchange
 from springmux.node.http.types import RequestHead, ServerLimits, ServerRefusal
+from springmux.node.resources.connection_limit import ConnectionLimit, LimitedConnection
+from springmux.node.resources.process_resources import ProcessResources
 
 
-class OwnedConnection(Protocol):
+class OwnedConnection(LimitedConnection, Protocol):
     """A client's connection, as its server uses it."""
 
     def close_if_idle(self) -> None:
@@ -24,6 +26,8 @@
     """The server, as its connections use it."""
 
     stopping: bool
+    resources: ProcessResources
+    connections: ConnectionLimit
 
     def limits_now(self) -> ServerLimits:
         """Return the current limits."""
--- a/src/springmux/node/http/server.py
+++ b/src/springmux/node/http/server.py
@@ -10,6 +10,7 @@
 from springmux.node.http.framing import describe_exception
 from springmux.node.http.server_connection import ServerConnection
 from springmux.node.http.server_exchange import HttpServerExchange
+from springmux.node.http.sockets import accept_gradually
 from springmux.node.http.types import (
     BodyTooLargeError,
     ClientDisconnectedError,
@@ -19,10 +20,14 @@
     ServerLimits,
     ServerRefusal,
 )
+from springmux.node.resources.connection_limit import ConnectionLimit
+from springmux.node.resources.process_resources import ProcessResources
 
 _log = logging.getLogger(__name__)
 
 _BACKLOG = 1024
+# Rejected connections that are kept open until their clients have read the response.
+_MAX_REJECTED = 32
 # Event loop iterations from accepting a socket to reading its first bytes (asyncio of Python 3.11).
 _ITERATIONS_TO_READ = 4
 
@@ -32,6 +37,7 @@
 
     :param limits: called for each request, so that a change applies to open connections too.
     :param on_refused: called for every request that the server itself refuses or aborts.
+    :param resources: what the listeners of the process share; the defaults if ``None``. Needs a running loop.
     """
 
     def __init__(
@@ -39,8 +45,13 @@
         handler: Handler,
         limits: Callable[[], ServerLimits],
         on_refused: RefusalListener = lambda _refusal, _head: None,
+        resources: ProcessResources | None = None,
     ) -> None:
         self.stopping = False
+        self.resources = resources or ProcessResources()
+        self.connections = ConnectionLimit(
+            lambda: self._limits().max_connections, asyncio.get_running_loop().time
+        )
         self._handler = handler
         self._limits = limits
         self._on_refused = on_refused
@@ -62,10 +73,7 @@
 
         :raises OSError: the address can't be bound.
         """
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=_BACKLOG, reuse_address=True
-        )
+        self._listener = await accept_gradually(lambda: ServerConnection(self), host, port, _BACKLOG)
         return int(self._listener.sockets[0].getsockname()[1])
 
     def stop_accepting(self) -> None:
@@ -107,7 +115,9 @@
     def connection_opened(self, connection: OwnedConnection) -> bool:
         """Register a new connection; return ``False`` if there are too many."""
         self._idle.clear()
-        if len(self._connections) >= self._limits().max_connections:
+        if not self.connections.admit(connection):
+            if len(self._rejected_connections) >= _MAX_REJECTED:
+                self._rejected_connections.pop().abort()
             self._rejected_connections.add(connection)
             return False
         self._connections.add(connection)
@@ -119,6 +129,7 @@
 
     def connection_closed(self, connection: OwnedConnection) -> None:
         """Unregister a connection."""
+        self.connections.remove(connection)
         self._connections.discard(connection)
         self._rejected_connections.discard(connection)
         self._update_idle()
--- a/src/springmux/node/http/server_connection.py
+++ b/src/springmux/node/http/server_connection.py
@@ -5,14 +5,16 @@
 import asyncio
 import enum
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 
 from springmux.node.http.bodies import request_body_decoder
 from springmux.node.http.connection_owner import ConnectionOwner
 from springmux.node.http.framing import encode_response_head
 from springmux.node.http.heads import MalformedMessageError, RequestHeadReader
+from springmux.node.http.request_body import MemoryExhaustedError, RequestBody
 from springmux.node.http.server_exchange import HttpServerExchange
-from springmux.node.http.sockets import reset, send_without_delay
+from springmux.node.http.sockets import limit_read_size, reset, send_without_delay
 from springmux.node.http.types import Header, RequestHead, ServerRefusal
 from springmux.node.http.write_gate import WriteGate
 
@@ -21,18 +23,29 @@
 # How long received bytes are discarded before closing: unread bytes would turn the close into a reset,
 # and the client may lose the response (RFC 9112, section 9.6).
 _LINGERING_TIMEOUT_S = 1.0
-_WRITE_HIGH_WATER_BYTES = 64 * 1024
+# Most bytes that one read takes from the kernel; it bounds what is parsed at once.
+_MAX_READ_BYTES = 64 * 1024
 # Pipelined bytes buffered before reading pauses. Reading continues until then to detect a disconnection.
 _MAX_BUFFERED_BYTES = 64 * 1024
+# Held of an engine's response while the client does not read: buffers of its connection, and the kernel's.
+_RELAYED_BYTES = 64 * 1024
+# How often a head is held at most: as received, as sent to an engine, and as the metadata of its prompt.
+_HEAD_COPIES = 4
+_SERVICE_UNAVAILABLE = 503
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REFUSAL_STATUSES = {
     ServerRefusal.MALFORMED: 400,
     ServerRefusal.TOO_SLOW: 408,
     ServerRefusal.HEADERS_TOO_LARGE: 431,
     ServerRefusal.TOO_MANY_CONNECTIONS: 503,
+    ServerRefusal.OVERLOADED: 503,
 }
 
 
+# A 503 promises that the request was not executed, so its client may come back.
+_RETRY_LATER: tuple[Header, ...] = ((b"retry-after", b"1"),)
+
+
 class _Phase(enum.Enum):
     IDLE = enum.auto()
     """No byte of the next request has been received."""
@@ -63,6 +76,8 @@
         self._expects_continue = False
         self._reading = True
         self._write_gate = WriteGate()
+        self._memory = owner.resources.memory.open(self)
+        self._unread_bytes = 0
 
     # Called by the event loop.
 
@@ -70,12 +85,15 @@
         """Store the transport and set its options; respond 503 if there are too many connections."""
         self._transport = cast(asyncio.Transport, transport)
         send_without_delay(self._transport)
-        self._transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
+        # Writing pauses as soon as the kernel takes no more, so that every byte that it leaves is counted.
+        self._transport.set_write_buffer_limits(high=0)
+        limit_read_size(self._transport, _MAX_READ_BYTES)
         if self._owner.connection_opened(self):
+            self._owner.connections.begin_wait(self)
             # Not the idle timeout: no request has shown yet that the client reuses the connection.
             self._set_timer(self._limits.header_timeout_s, self._close)
         else:
-            self._refuse(ServerRefusal.TOO_MANY_CONNECTIONS, headers=((b"retry-after", b"1"),))
+            self._refuse(ServerRefusal.TOO_MANY_CONNECTIONS)
 
     def data_received(self, data: bytes) -> None:
         """Handle bytes from the client."""
@@ -98,26 +116,41 @@
         self._disconnect_exchange()
         self._write_gate.open()
         self._reader = None
+        self._release_memory()
         self._owner.connection_closed(self)
 
     def pause_writing(self) -> None:
         """Make writers wait: the client's socket is full."""
         self._write_gate.close()
+        self._begin_wait()
+        self._count_unread()
 
     def resume_writing(self) -> None:
         """Let writers continue: the client's socket accepts bytes again."""
+        self._memory.release(self._unread_bytes)
+        self._unread_bytes = 0
         self._write_gate.open()
+        if self._phase is _Phase.EXCHANGE and self._exchange is not None and self._exchange.body_complete:
+            self._end_wait()
+        elif self._phase is _Phase.IDLE and self._buffered:
+            self._loop.call_soon(self._process_buffered)
 
     # Called by the exchange.
 
     def send(self, data: bytes) -> None:
         """Write bytes without waiting."""
         self._transport.write(data)
+        if self._write_gate.closed:
+            self._count_unread()
 
     async def drain(self) -> None:
         """Wait while the client's socket is full."""
         await self._write_gate.wait_open()
 
+    def try_hold(self, size_bytes: int) -> bool:
+        """Count bytes of a response that are held until it ends; return whether there is room for them."""
+        return self._memory.try_hold(size_bytes, reserved=False)
+
     def send_continue(self) -> None:
         """Send ``100 Continue`` if the client expects it, once the handler reads the body."""
         if not self._expects_continue:
@@ -137,7 +170,12 @@
 
     def response_complete(self, exchange: HttpServerExchange) -> None:
         """Continue with the next request, or close, after the exchange's response was written."""
+        if self._exchange is not exchange:
+            return
         self._exchange = None
+        if self._write_gate.closed:
+            self._count_unread()
+        self._memory.release(self._memory.held_bytes - self._unread_bytes - len(self._buffered))
         self._set_timer(None)
         self._owner.request_ended()
         if not exchange.body_complete or exchange.body_too_large:
@@ -147,6 +185,7 @@
         else:
             # Deferred by one loop iteration, or the next handler's response would be nested in this call.
             self._phase = _Phase.IDLE
+            self._begin_wait()
             self._set_timer(self._owner.limits_now().idle_timeout_s, self._close)
             if self._buffered:
                 self._loop.call_soon(self._process_buffered)
@@ -165,6 +204,27 @@
             self._owner.request_refused(ServerRefusal.STOPPED, self._exchange.head)
         self.reset()
 
+    def yield_memory(self) -> None:
+        """End what the client left unfinished: another connection needs the memory that it holds."""
+        self._yield(ServerRefusal.OVERLOADED)
+
+    def yield_place(self) -> None:
+        """Close, because a new connection needs the place of this one, which waits for its client."""
+        if self._phase in (_Phase.HEAD, _Phase.EXCHANGE):
+            self._yield(ServerRefusal.TOO_MANY_CONNECTIONS)
+        self._transport.abort() if self._write_gate.closed else self._transport.close()
+
+    def _yield(self, refusal: ServerRefusal) -> None:
+        exchange = self._exchange
+        if self._phase is _Phase.HEAD:
+            self._refuse(refusal)
+        elif exchange is not None and not exchange.body_complete:
+            self._abort_exchange(exchange, refusal)
+        else:
+            # A complete request may have been executed, so no status may promise that it was not.
+            self._owner.request_refused(refusal, exchange.head if exchange is not None else None)
+            self.reset()
+
     def close_if_idle(self) -> None:
         """Close unless a byte of a request has been received."""
         if self._phase is _Phase.IDLE and not self._buffered:
@@ -173,9 +233,11 @@
     # Reading.
 
     def _process_buffered(self) -> None:
-        if self._phase is not _Phase.IDLE:
+        # A client that does not read its responses gets no further ones.
+        if self._phase is not _Phase.IDLE or self._write_gate.closed:
             return
         data, self._buffered = self._buffered, b""
+        self._memory.release(len(data))
         self._set_reading(True)
         if data:
             self._receive_head(data)
@@ -183,23 +245,40 @@
             self._close()
 
     def _receive_head(self, data: bytes) -> None:
-        if self._buffered:
-            self._buffered += data  # _process_buffered is scheduled
+        if self._buffered or self._write_gate.closed:
+            self._buffer(data)  # _process_buffered is scheduled, or will be once the responses are read
             return
         if self._phase is _Phase.IDLE:
             data = data.lstrip(b"\r\n")  # RFC 9112, section 2.2
             if not data:
                 return
             self._begin_head()
-        assert self._reader is not None
+        reader = self._reader
+        assert reader is not None
         try:
-            used = self._reader.feed(data)
-            if self._reader.size_bytes > self._limits.max_header_bytes:
+            # One byte over the limit shows that the head is too large; the others need no parsing.
+            used = reader.feed(data[: self._limits.max_header_bytes + 1 - reader.size_bytes])
+            if reader.size_bytes > self._limits.max_header_bytes:
                 self._refuse(ServerRefusal.HEADERS_TOO_LARGE)
             elif used is not None:
-                self._begin_exchange(self._reader, data[used:])
+                self._begin_exchange(reader, data[used:])
+            else:
+                self._hold_partial_head(len(data))
         except MalformedMessageError:
             self._refuse(ServerRefusal.MALFORMED)
+        except MemoryExhaustedError:
+            self._refuse(ServerRefusal.OVERLOADED)
+
+    def _hold_partial_head(self, size_bytes: int) -> None:
+        """Count a part of a head, whose end the connection waits for.
+
+        :raises MemoryExhaustedError: there is no room for it.
+        """
+        if not self._memory.waits:
+            self._begin_wait()
+        if not self._memory.try_hold(size_bytes * _HEAD_COPIES):
+            raise MemoryExhaustedError
+        self._memory.record_progress(size_bytes)
 
     def _begin_head(self) -> None:
         self._phase = _Phase.HEAD
@@ -209,19 +288,15 @@
 
     def _begin_exchange(self, reader: RequestHeadReader, rest: bytes) -> None:
         head = reader.head()
-        decoder, length = request_body_decoder(head)
+        decoder, announced_bytes = request_body_decoder(head)
+        self._begin_wait() if not decoder.done else self._end_wait()
+        if not self._memory.try_hold(max(0, reader.size_bytes * _HEAD_COPIES - self._memory.held_bytes)):
+            raise MemoryExhaustedError
+        body = RequestBody(decoder, announced_bytes, self._limits.max_body_bytes, self._memory)
         self._reader = None
         http_1_0 = reader.version == "1.0"
         self._keep_alive = reader.keep_alive and not http_1_0
-        exchange = HttpServerExchange(
-            self,
-            head,
-            decoder,
-            self._loop.time(),
-            http_1_0=http_1_0,
-            max_body_bytes=self._limits.max_body_bytes,
-            announced_bytes=length,
-        )
+        exchange = HttpServerExchange(self, head, body, self._loop.time(), http_1_0=http_1_0)
         expectation = head.header(b"expect") or b""
         self._expects_continue = not http_1_0 and expectation.lower() == b"100-continue"
         self._exchange = exchange
@@ -241,21 +316,46 @@
             self._buffer(data)
             return
         self._expects_continue = False
+        self._memory.record_progress(len(data))
         try:
-            rest = exchange.feed(data)
+            exchange.feed(data)
         except MalformedMessageError:
             self._abort_exchange(exchange, ServerRefusal.MALFORMED)
             return
+        except MemoryExhaustedError:
+            self._abort_exchange(exchange, ServerRefusal.OVERLOADED)
+            return
         if exchange.body_too_large:
             self._set_reading(False)
-        if exchange.body_complete:
-            self._set_timer(None)
-            self._buffer(rest)
+        elif exchange.body_complete:
+            self._body_complete(exchange)
+        elif exchange.undecoded_bytes:
+            self._set_reading(False)
+            self._owner.resources.deferred_work.add(partial(self._continue_decoding, exchange))
+        else:
+            self._set_reading(True)
+
+    def _continue_decoding(self, exchange: HttpServerExchange) -> None:
+        if self._exchange is exchange and not exchange.body_too_large:
+            self._receive_in_exchange(b"")
+
+    def _body_complete(self, exchange: HttpServerExchange) -> None:
+        self._set_timer(None)
+        self._set_reading(True)
+        if not self._write_gate.closed:
+            self._end_wait()
+        if exchange.body_rest:
+            self._buffer(exchange.body_rest)
 
     def _buffer(self, data: bytes) -> None:
+        if not self._memory.try_hold(len(data), reserved=False):
+            self._yield(ServerRefusal.OVERLOADED)
+            return
         self._buffered += data
         if len(self._buffered) > _MAX_BUFFERED_BYTES:
+            # While reading is paused, a disconnection is not detected, so the connection yields to others.
             self._set_reading(False)
+            self._begin_wait()
 
     def _set_reading(self, enabled: bool) -> None:
         if enabled == self._reading or self._transport.is_closing():
@@ -266,6 +366,38 @@
         else:
             self._transport.pause_reading()
 
+    # Counting what the connection holds.
+
+    def _begin_wait(self) -> None:
+        """Record that the connection waits for its client, to send or to read."""
+        self._memory.begin_wait()
+        self._owner.connections.begin_wait(self)
+
+    def _end_wait(self) -> None:
+        self._memory.end_wait()
+        self._owner.connections.end_wait(self)
+
+    def _count_unread(self) -> None:
+        """Count the bytes that the client has not read and the kernel has no room for."""
+        unread_bytes = self._transport.get_write_buffer_size()
+        if self._exchange is not None:
+            unread_bytes += _RELAYED_BYTES
+        added_bytes = unread_bytes - self._unread_bytes
+        self._unread_bytes = unread_bytes
+        if added_bytes < 0:
+            self._memory.release(-added_bytes)
+        elif not self._memory.try_hold(added_bytes):
+            # Later, because the exchange is still writing.
+            self._loop.call_soon(self._yield_unread)
+
+    def _yield_unread(self) -> None:
+        if self._write_gate.closed and self._phase is not _Phase.CLOSING:
+            self._yield(ServerRefusal.OVERLOADED)
+
+    def _release_memory(self) -> None:
+        self._end_wait()
+        self._memory.release_all()
+
     # Closing.
 
     def _body_timed_out(self) -> None:
@@ -283,23 +415,28 @@
 
     def _disconnect_exchange(self) -> None:
         exchange, self._exchange = self._exchange, None
+        self._release_memory()
         if exchange is not None:
             exchange.client_disconnected()
             self._write_gate.open()
             self._owner.request_ended()
 
-    def _refuse(
-        self, refusal: ServerRefusal, head: RequestHead | None = None, headers: tuple[Header, ...] = ()
-    ) -> None:
+    def _refuse(self, refusal: ServerRefusal, head: RequestHead | None = None) -> None:
         self._owner.request_refused(refusal, head)
+        self._reader = None
+        self._release_memory()
+        status = _REFUSAL_STATUSES[refusal]
+        headers = _RETRY_LATER if status == _SERVICE_UNAVAILABLE else ()
         framing = ((b"content-length", b"0"), (b"connection", b"close"))
-        self._transport.write(encode_response_head(_REFUSAL_STATUSES[refusal], headers, framing))
+        self._transport.write(encode_response_head(status, headers, framing))
         self._close_lingering()
 
     def _close_lingering(self) -> None:
         """Send EOF, then discard what the client still sends until the lingering timeout."""
         self._phase = _Phase.LINGERING
+        self._memory.release(len(self._buffered))
         self._buffered = b""
+        self._begin_wait()
         self._set_reading(True)
         if self._transport.is_closing():
             return
@@ -309,6 +446,7 @@
     def _close(self) -> None:
         """Close once everything is written, or abort if the client doesn't read it in time."""
         self._phase = _Phase.CLOSING
+        self._begin_wait()
         self._transport.close()
         self._set_timer(self._limits.idle_timeout_s, self._transport.abort)
 
--- a/src/springmux/node/http/server_exchange.py
+++ b/src/springmux/node/http/server_exchange.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from springmux.node.http.bodies import BodyDecoder
 from springmux.node.http.framing import (
     LAST_CHUNK,
     describe_exception,
@@ -15,6 +14,7 @@
     encode_response_head,
     has_no_body,
 )
+from springmux.node.http.request_body import RequestBody
 from springmux.node.http.types import BodyTooLargeError, ClientDisconnectedError, Header, RequestHead
 
 _log = logging.getLogger(__name__)
@@ -36,6 +36,10 @@
         """
         ...
 
+    def try_hold(self, size_bytes: int) -> bool:
+        """Count bytes of a response that are held until it ends; return whether there is room for them."""
+        ...
+
     def send_continue(self) -> None:
         """Send ``100 Continue`` if the client waits for it (RFC 9110, section 10.1.1)."""
         ...
@@ -64,25 +68,18 @@
         self,
         connection: ExchangeConnection,
         head: RequestHead,
-        decoder: BodyDecoder,
+        body: RequestBody,
         received_at: float,
         *,
         http_1_0: bool,
-        max_body_bytes: int,
-        announced_bytes: int | None,
     ) -> None:
         self.head = head
         self.received_at = received_at
         self.finished = False
         self.disconnected = False
-        self.body_too_large = announced_bytes is not None and announced_bytes > max_body_bytes
         self._connection = connection
-        self._decoder = decoder
+        self._body = body
         self._http_1_0 = http_1_0
-        self._max_body_bytes = max_body_bytes
-        self._parts: list[bytes] = []
-        self._size_bytes = 0
-        self._body: bytes | None = None
         self._waiters: list[asyncio.Future[None]] = []
         self._disconnect_callbacks: list[Callable[[], None]] = []
         self._begun = False
@@ -100,7 +97,22 @@
     @property
     def body_complete(self) -> bool:
         """Whether the request's body was read to its end."""
-        return self._decoder.done
+        return self._body.complete
+
+    @property
+    def body_too_large(self) -> bool:
+        """Whether the request's body is over the limit."""
+        return self._body.too_large
+
+    @property
+    def body_rest(self) -> bytes:
+        """The received bytes after the body's end, once it is complete."""
+        return self._body.rest
+
+    @property
+    def undecoded_bytes(self) -> int:
+        """Received bytes of the body that the next call of :meth:`feed` will decode."""
+        return self._body.undecoded_bytes
 
     async def body(self) -> bytes:
         """Return the complete body.
@@ -111,12 +123,8 @@
         while True:
             if self.body_too_large:
                 raise BodyTooLargeError
-            if self._body is not None:
-                return self._body
-            if self._decoder.done:
-                self._body = b"".join(self._parts)
-                self._parts.clear()
-                return self._body
+            if self._body.complete:
+                return self._body.whole()
             if self.disconnected or self.finished:
                 raise ClientDisconnectedError
             self._connection.send_continue()
@@ -124,6 +132,10 @@
             self._waiters.append(waiter)
             await waiter
 
+    def try_hold(self, size_bytes: int) -> bool:
+        """Count bytes of a response that are held until it ends; return whether there is room for them."""
+        return not self._ended() and self._connection.try_hold(size_bytes)
+
     def respond(self, status: int, headers: Sequence[Header], body: bytes) -> None:
         """Send a complete response with Content-Length, in one write."""
         if self._ended():
@@ -187,21 +199,15 @@
 
     # Called by the connection.
 
-    def feed(self, data: bytes) -> bytes:
-        """Consume bytes of the request's body; return those after its end.
+    def feed(self, data: bytes) -> None:
+        """Consume bytes of the request's body.
 
         :raises MalformedMessageError: the body's framing is not valid.
+        :raises MemoryExhaustedError: there is no room for them.
         """
-        part = self._decoder.feed(data)
-        self._size_bytes += len(part)
-        if self._size_bytes > self._max_body_bytes:
-            self.body_too_large = True
-            self._parts.clear()
-        elif not self.body_too_large:
-            self._parts.append(part)
-        if self.body_too_large or self._decoder.done:
+        self._body.feed(data)
+        if self.body_too_large or self.body_complete:
             self._wake()
-        return self._decoder.rest
 
     def fail(self, status: int) -> bool:
         """Abort the exchange: with an error response if no response has begun, else with a reset.
--- a/src/springmux/node/http/types.py
+++ b/src/springmux/node/http/types.py
@@ -68,6 +68,10 @@
         """
         ...
 
+    def try_hold(self, size_bytes: int) -> bool:
+        """Count bytes of a response that are held until it ends; return whether there is room for them."""
+        ...
+
     def respond(self, status: int, headers: Sequence[Header], body: bytes) -> None:
         """Send a complete response with Content-Length."""
         ...
@@ -116,6 +120,8 @@
     """The head is over the limit: 431."""
     TOO_MANY_CONNECTIONS = "too_many_connections"
     """A new connection over the limit: 503."""
+    OVERLOADED = "overloaded"
+    """The process holds as many bytes as it may: 503, or a reset if a response has begun."""
     HANDLER_FAILED = "handler_failed"
     """The handler raised an exception or returned without a response: 500, or a reset."""
     STOPPED = "stopped"
--- a/src/springmux/node/http/write_gate.py
+++ b/src/springmux/node/http/write_gate.py
@@ -11,6 +11,11 @@
     def __init__(self) -> None:
         self._waiter: asyncio.Future[None] | None = None
 
+    @property
+    def closed(self) -> bool:
+        """Whether writers wait."""
+        return self._waiter is not None
+
     def close(self) -> None:
         """Make writers wait."""
         if self._waiter is None:
--- a/src/springmux/node/metrics/table.py
+++ b/src/springmux/node/metrics/table.py
@@ -62,6 +62,17 @@
         "peer_dropped_messages_total", _COUNTER, "Messages from and to peers that were dropped.", ("reason",)
     ),
     MetricSpec("peer_refused_hellos_total", _COUNTER, "Peers refused at the hello.", ("reason",)),
+    MetricSpec(
+        "peer_refused_connections_total",
+        _COUNTER,
+        "Inbound peer connections closed since there were too many.",
+    ),
+    MetricSpec("connection_held_bytes", _GAUGE, "Counted bytes that connections make the process hold."),
+    MetricSpec(
+        "connection_yields_total",
+        _COUNTER,
+        "Connections closed while they waited for their client, since others needed their memory.",
+    ),
     MetricSpec("peer_connections", _GAUGE, "Established outgoing peer connections."),
     MetricSpec(
         "loop_lag_seconds", _HISTOGRAM, "Delay of the event loop beyond a due timer.", (), LAG_BUCKETS_S
--- a/src/springmux/node/settings.py
+++ b/src/springmux/node/settings.py
@@ -19,6 +19,7 @@
 from springmux.agent.events import AgentSettings
 from springmux.coordination.identifiers import Address, NodeId
 from springmux.node.addresses import check_address
+from springmux.node.resources.process_resources import DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_MB
 from springmux.vocabulary.errors import FieldError, SettingsError
 
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
@@ -72,6 +73,16 @@
     body_timeout_s: float = Field(default=10.0, gt=0, le=300)
     keep_alive_s: float = Field(default=75.0, gt=0, le=3600)
     order_timeout_s: float = Field(default=10.0, gt=0, le=300)
+    memory_mb: float = Field(
+        default=DEFAULT_MEMORY_MB,
+        ge=100,
+        description="memory that the process may use, in megabytes; clients may fill a quarter of it",
+    )
+    max_descriptors: int = Field(
+        default=DEFAULT_MAX_DESCRIPTORS,
+        ge=300,
+        description="descriptors that the process may open; a lower RLIMIT_NOFILE applies instead",
+    )
     fault_injection: bool = Field(
         default=False, description="let experiments inject faults; never enable in production"
     )
--- a/tests/unit/node/gateway/stand_ins.py
+++ b/tests/unit/node/gateway/stand_ins.py
@@ -106,6 +106,9 @@
     def begun(self) -> bool:
         return self.status != 0
 
+    def try_hold(self, size_bytes: int) -> bool:
+        return True
+
     def on_disconnect(self, callback: Callable[[], None]) -> None:
         self._callbacks.append(callback)
 
