Large requests of clients leave memory to operators and peers

Change: large holders of the class CLIENT fill half of the budget, those of the class FLEET (control, peers) 85%; the rest stays for small ones.

--- a/src/springmux/node/gateway/gateway_node.py
+++ b/src/springmux/node/gateway/gateway_node.py
@@ -34,6 +34,7 @@
 from springmux.node.peer.agent_codec import AgentCodec
 from springmux.node.peer.handshake import HandshakeAuthenticator
 from springmux.node.peer.transport import PeerTransport
+from springmux.node.resources.memory_budget import MemoryClass
 from springmux.node.resources.process_resources import ProcessResources
 from springmux.node.service_rates import ServiceRates
 from springmux.node.storage.opening import OpenedStorage
@@ -105,7 +106,12 @@
         ready_limits = msgspec.structs.replace(
             control_limits, max_body_bytes=READY_BODY_BYTES, max_connections=shares.ready
         )
-        self._control = HttpServer(control.handle, lambda: control_limits, resources=self._resources)
+        self._control = HttpServer(
+            control.handle,
+            lambda: control_limits,
+            resources=self._resources,
+            memory_class=MemoryClass.FLEET,
+        )
         self._ready = HttpServer(ready_handler(control), lambda: ready_limits, resources=self._resources)
 
     def readiness(self) -> ReadyBody:
--- a/src/springmux/node/http/connection_owner.py
+++ b/src/springmux/node/http/connection_owner.py
@@ -7,6 +7,7 @@
 from springmux.node.http.server_exchange import HttpServerExchange
 from springmux.node.http.types import RequestHead, ServerLimits, ServerRefusal
 from springmux.node.resources.connection_limit import ConnectionLimit, LimitedConnection
+from springmux.node.resources.memory_budget import MemoryClass
 from springmux.node.resources.process_resources import ProcessResources
 
 
@@ -28,6 +29,7 @@
     stopping: bool
     resources: ProcessResources
     connections: ConnectionLimit
+    memory_class: MemoryClass
 
     def limits_now(self) -> ServerLimits:
         """Return the current limits."""
--- a/src/springmux/node/http/server.py
+++ b/src/springmux/node/http/server.py
@@ -21,6 +21,7 @@
     ServerRefusal,
 )
 from springmux.node.resources.connection_limit import ConnectionLimit
+from springmux.node.resources.memory_budget import MemoryClass
 from springmux.node.resources.process_resources import ProcessResources
 
 _log = logging.getLogger(__name__)
@@ -37,6 +38,7 @@
 
     :param limits: called for each request, so that a change applies to open connections too.
     :param on_refused: called for every request that the server itself refuses or aborts.
+    :param memory_class: whose bytes the listener's connections hold.
     :param resources: what the listeners of the process share; the defaults if ``None``. Needs a running loop.
     """
 
@@ -46,8 +48,10 @@
         limits: Callable[[], ServerLimits],
         on_refused: RefusalListener = lambda _refusal, _head: None,
         resources: ProcessResources | None = None,
+        memory_class: MemoryClass = MemoryClass.CLIENT,
     ) -> None:
         self.stopping = False
+        self.memory_class = memory_class
         self.resources = resources or ProcessResources()
         self.connections = ConnectionLimit(
             lambda: self._limits().max_connections, asyncio.get_running_loop().time
--- a/src/springmux/node/http/server_connection.py
+++ b/src/springmux/node/http/server_connection.py
@@ -76,7 +76,7 @@
         self._expects_continue = False
         self._reading = True
         self._write_gate = WriteGate()
-        self._memory = owner.resources.memory.open(self)
+        self._memory = owner.resources.memory.open(self, owner.memory_class)
         self._unread_bytes = 0
 
     # Called by the event loop.
--- a/src/springmux/node/resources/memory_budget.py
+++ b/src/springmux/node/resources/memory_budget.py
@@ -8,13 +8,12 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable
 from typing import Protocol
 
 BUDGET_SHARE = 0.25
 """Share of the process's memory. The rest is for the program, its state, sockets and unread bytes."""
-LARGE_SHARE = 0.75
-"""Share of the budget that connections which hold more than ``SMALL_BYTES`` may fill together."""
 SMALL_BYTES = 16 << 10
 STALLED_AFTER_S = 0.25
 """A client that has made no progress for this time yields to any other."""
@@ -22,6 +21,15 @@
 """Fewer bytes are no progress, so that a client can't keep its place by sending single bytes."""
 
 
+class MemoryClass(enum.Enum):
+    """Whose bytes they are. The value is the share of the budget up to which large holders may fill it."""
+
+    CLIENT = 0.5
+    """Clients and readiness checks."""
+    FLEET = 0.85
+    """Operators, engines and peers: clients can't keep a node from learning a configuration."""
+
+
 class MemoryHolder(Protocol):
     """A connection whose bytes are counted."""
 
@@ -33,10 +41,20 @@
 class MemoryAccount:
     """The counted bytes of one connection."""
 
-    __slots__ = ("_budget", "_unmarked_bytes", "held_bytes", "holder", "marked_at", "waits")
-
-    def __init__(self, budget: MemoryBudget, holder: MemoryHolder) -> None:
+    __slots__ = (
+        "_budget",
+        "_unmarked_bytes",
+        "held_bytes",
+        "holder",
+        "large_limit_bytes",
+        "marked_at",
+        "waits",
+    )
+
+    def __init__(self, budget: MemoryBudget, holder: MemoryHolder, large_limit_bytes: int) -> None:
         self.holder = holder
+        self.large_limit_bytes = large_limit_bytes
+        """Bytes of the budget that it may fill once it holds more than ``SMALL_BYTES``."""
         self.held_bytes = 0
         self.marked_at = 0.0
         """When the client last made progress (event loop time)."""
@@ -91,14 +109,13 @@
         self.held_bytes = 0
         self.yielded = 0
         """Number of connections that have yielded."""
-        self._large_limit_bytes = int(capacity_bytes * LARGE_SHARE)
         self._clock = clock
         # The accounts that wait for their clients and hold bytes; the one marked longest ago is first.
         self._waiting: dict[MemoryAccount, None] = {}
 
-    def open(self, holder: MemoryHolder) -> MemoryAccount:
+    def open(self, holder: MemoryHolder, memory_class: MemoryClass) -> MemoryAccount:
         """Return the account of a new connection."""
-        return MemoryAccount(self, holder)
+        return MemoryAccount(self, holder, int(self.capacity_bytes * memory_class.value))
 
     def try_hold(self, account: MemoryAccount, size_bytes: int, reserved: bool = True) -> bool:
         """See :meth:`MemoryAccount.try_hold`."""
@@ -141,7 +158,7 @@
         if small:
             return after_bytes <= self.capacity_bytes
         # A connection that alone holds any bytes is served, whatever the limits of the configuration are.
-        return after_bytes <= self._large_limit_bytes or self.held_bytes == account.held_bytes
+        return after_bytes <= account.large_limit_bytes or self.held_bytes == account.held_bytes
 
     def _next_to_yield(self, account: MemoryAccount, small: bool) -> MemoryAccount | None:
         """Return the account that yields to ``account``: one that stalls, or a large one to a small one."""
--- a/tests/crowds/gateway.py
+++ b/tests/crowds/gateway.py
@@ -55,6 +55,16 @@
         finally:
             writer.transport.abort()
 
+    async def grow_configuration(self, document_bytes: int) -> None:
+        """Add services until the document has ``document_bytes``, and check that it is taken."""
+        names = [f"service-{number}-{'x' * 180}" for number in range(document_bytes // 200)]
+        change = {"version": 2, "upsert": {"services": [{"name": name} for name in names]}}
+        target = "/v1/gateway/configuration"
+        body = json.dumps(change).encode()
+        await send_until_accepted(self.ports.control, "PATCH", target, body, {"if-match": "1"})
+        response = await send_until_accepted(self.ports.control, "GET", target, b"")
+        assert len(response.body) >= document_bytes
+
     def check_descriptors(self, max_descriptors: int) -> None:
         """Assert that the process leaves the descriptors that its machine reserves."""
         assert self.system.open_descriptors <= max_descriptors - RESERVED_DESCRIPTORS
--- a/tests/crowds/test_front_bodies.py
+++ b/tests/crowds/test_front_bodies.py
@@ -16,6 +16,7 @@
 
 BODIES = 64
 FAR_OVER_BYTES = 16 << 20
+DOCUMENT_BYTES = 1 << 20
 BODIES_BY_KIND = {
     "announced": announced_body(BODY_BYTES),
     "large chunks": chunked_body(BODY_BYTES, 64 << 10),
@@ -61,4 +62,6 @@
     async with running_gateway(tmp_path) as gateway:
         async with crowd(gateway.system, gateway.ports.front, BODIES, [head, body + end]):
             await gateway.check_ordinary_caller()
+            # Clients don't keep a node from taking a configuration.
+            await gateway.grow_configuration(DOCUMENT_BYTES)
         await gateway.check_ordinary_caller(BODY_BYTES)
--- a/tests/crowds/test_ready_and_control.py
+++ b/tests/crowds/test_ready_and_control.py
@@ -5,14 +5,13 @@
 
 from __future__ import annotations
 
-import json
 from pathlib import Path
 
 import pytest
 
 from tests.crowds.crowd import crowd
 from tests.crowds.gateway import BODY_BYTES, Gateway, running_gateway
-from tests.crowds.processes import HOST, send_until_accepted
+from tests.crowds.processes import send_until_accepted
 from tests.crowds.requests import CONNECTIONS, END, MAX_DESCRIPTORS, SHORT_LINES
 
 HEADS = 600
@@ -80,7 +79,7 @@
 
 async def test_pipelined_reads_of_a_large_configuration_that_nobody_reads(tmp_path: Path) -> None:
     async with running_gateway(tmp_path) as gateway:
-        await grow_configuration(gateway)
+        await gateway.grow_configuration(DOCUMENT_BYTES)
         requests = (head("control", b"GET", b"") + END) * PIPELINED_DOCUMENTS
         async with crowd(gateway.system, gateway.ports.control, PIPELINES, [requests]):
             await gateway.check_ordinary_caller()
@@ -105,14 +104,3 @@
             await gateway.check_ordinary_caller()
             await send_until_accepted(gateway.ports.control, "GET", "/v1/gateway/configuration", b"")
         await check_after(gateway)
-
-
-async def grow_configuration(gateway: Gateway) -> None:
-    """Add services until the configuration's document has ``DOCUMENT_BYTES``."""
-    names = [f"service-{number}-{'x' * 180}" for number in range(DOCUMENT_BYTES // 200)]
-    change = {"version": 2, "upsert": {"services": [{"name": name} for name in names]}}
-    target = "/v1/gateway/configuration"
-    body = json.dumps(change).encode()
-    await send_until_accepted(gateway.ports.control, "PATCH", target, body, {"if-match": "1"})
-    response = await send_until_accepted(gateway.ports.control, "GET", target, b"")
-    assert len(response.body) >= DOCUMENT_BYTES, HOST
--- a/tests/unit/node/resources/test_memory_budget.py
+++ b/tests/unit/node/resources/test_memory_budget.py
@@ -9,16 +9,16 @@
 import random
 
 from springmux.node.resources.memory_budget import (
-    LARGE_SHARE,
     PROGRESS_BYTES,
     SMALL_BYTES,
     STALLED_AFTER_S,
     MemoryAccount,
     MemoryBudget,
+    MemoryClass,
 )
 
 CAPACITY = 100 * SMALL_BYTES
-LARGE_LIMIT = int(CAPACITY * LARGE_SHARE)
+LARGE_LIMIT = int(CAPACITY * MemoryClass.CLIENT.value)
 
 
 class Scene:
@@ -29,8 +29,10 @@
         self.budget = MemoryBudget(CAPACITY, lambda: self.now)
         self.yielded: list[str] = []
 
-    def open(self, name: str, waits: bool = True) -> MemoryAccount:
-        account = self.budget.open(Connection(self, name))
+    def open(
+        self, name: str, waits: bool = True, memory_class: MemoryClass = MemoryClass.CLIENT
+    ) -> MemoryAccount:
+        account = self.budget.open(Connection(self, name), memory_class)
         if waits:
             account.begin_wait()
         return account
@@ -81,7 +83,7 @@
     scene = Scene()
     large = scene.open("large")
     assert large.try_hold(LARGE_LIMIT)
-    small = [scene.open(f"small {number}") for number in range(50)]
+    small = [scene.open(f"small {number}") for number in range(60)]
     assert all(account.try_hold(SMALL_BYTES) for account in small)
     assert scene.yielded == ["large"]
 
@@ -97,6 +99,16 @@
     assert scene.yielded == []
 
 
+def test_large_clients_leave_room_to_the_fleet_and_the_fleet_to_small_clients() -> None:
+    scene = Scene()
+    assert scene.open("client", waits=False).try_hold(LARGE_LIMIT)
+    peer = scene.open("peer", waits=False, memory_class=MemoryClass.FLEET)
+    assert peer.try_hold(int(CAPACITY * MemoryClass.FLEET.value) - LARGE_LIMIT)
+    assert not peer.try_hold(SMALL_BYTES)
+    assert scene.open("small").try_hold(SMALL_BYTES)
+    assert scene.yielded == []
+
+
 def test_a_connection_that_alone_holds_bytes_may_pass_the_limit() -> None:
     scene = Scene()
     alone = scene.open("alone", waits=False)
