Peers: unfinished messages are counted, and inbound connections bounded

Seen by callers: 16 connections that said hello as unknown nodes, announced 16 MB each and stopped a little short made a node hold 321 MB of its 200; 800 connections without a hello took all its descriptors.

Cause: a frame's bytes were kept up to 64 MB on every inbound connection, and any number of connections was accepted.

Change: a frame that does not arrive at once is counted in the process's budget when its size is announced, with that of its payload; a peer that stalls yields. Inbound connections have a share of the descriptors; at the limit the one that has been idle longest, or the new one, is closed.

--- a/src/springmux/node/gateway/gateway_node.py
+++ b/src/springmux/node/gateway/gateway_node.py
@@ -246,6 +246,7 @@
             self._log,
             self.metrics,
             randomness,
+            self._resources,
         )
 
     def _make_storage(self, opened: OpenedStorage) -> StorageWorker | None:
--- a/src/springmux/node/peer/frames.py
+++ b/src/springmux/node/peer/frames.py
@@ -72,6 +72,14 @@
         """Append received bytes."""
         self._buffer += data
 
+    @property
+    def announced_bytes(self) -> int:
+        """Size of the next frame, of which only a part was fed; 0 if its header is incomplete."""
+        begin = self._begin + HEADER_BYTES
+        if begin > len(self._buffer):
+            return 0
+        return HEADER_BYTES + int.from_bytes(self._buffer[self._begin : begin], "big")
+
     def next_payload(self) -> bytes | None:
         """Return the next complete payload, or ``None`` if more bytes are needed.
 
@@ -106,6 +114,9 @@
     :param on_lost: called once when the connection has ended, whichever side ended it.
     :param on_connected: called when the connection is established.
     :param on_writable: called when the transport accepts frames again after writing was paused.
+    :param on_partial: called after each read with the size of the frame of which only a part was received, or
+        0 if there is none, and with the number of bytes read. Returns whether the frame's other bytes may be
+        received, too. If not, the connection is reset.
     """
 
     def __init__(
@@ -114,11 +125,13 @@
         on_lost: Callable[[Exception | None], None],
         on_connected: Callable[[], None] = lambda: None,
         on_writable: Callable[[], None] = lambda: None,
+        on_partial: Callable[[int, int], bool] = lambda _announced, _read: True,
     ) -> None:
         self._on_payload = on_payload
         self._on_lost = on_lost
         self._on_connected = on_connected
         self._on_writable = on_writable
+        self._on_partial = on_partial
         self._reader = FrameReader(MAX_HANDSHAKE_BYTES)
         self._transport: asyncio.Transport | None = None
         self.writing_paused = False
@@ -199,6 +212,9 @@
                 self._on_payload(payload)
         except FrameTooLargeError:
             self.abort()
+            return
+        if self.open and not self._on_partial(self._reader.announced_bytes, len(data)):
+            self.abort()
 
     def pause_writing(self) -> None:
         """See :class:`asyncio.Protocol`."""
--- a/src/springmux/node/peer/inbound_connection.py
+++ b/src/springmux/node/peer/inbound_connection.py
@@ -18,8 +18,12 @@
     decode_handshake,
     encode_handshake,
 )
+from springmux.node.resources.connection_limit import ConnectionLimit
+from springmux.node.resources.memory_budget import MemoryBudget, MemoryClass
 
 HELLO_TIMEOUT_S = 3.0
+MESSAGE_COPIES = 2
+"""How often a large message is held: as received, and as its payload."""
 PARTITION_CHECK_PERIOD_S = 0.1
 """Period at which a handshake checks whether the injected partition that delays it is over.
 
@@ -42,6 +46,8 @@
         log: EventLog,
         metrics: NodeMetrics,
         partitioned: Callable[[], bool],
+        memory: MemoryBudget,
+        connections: ConnectionLimit,
     ) -> None:
         self._authenticator = authenticator
         self._on_message = on_message
@@ -55,7 +61,11 @@
         self._hello_timer: asyncio.TimerHandle | None = None
         self._challenge_timer: asyncio.TimerHandle | None = None
         self._rejected = False
-        self.connection = FrameConnection(self._on_payload, self._on_lost, on_connected=self._on_connected)
+        self._memory = memory.open(self, MemoryClass.FLEET)
+        self._connections = connections
+        self.connection = FrameConnection(
+            self._on_payload, self._on_lost, on_connected=self._on_connected, on_partial=self._on_partial
+        )
         self.undecodable_logged = False
         """Whether an undecodable message of this connection has been logged."""
 
@@ -64,7 +74,21 @@
         self._rejected = True
         self.connection.abort()
 
+    def yield_memory(self) -> None:
+        """Reset the connection, whose peer did not finish a message: another one needs the memory."""
+        self._metrics.count("peer_dropped_messages_total", "overloaded")
+        self.close()
+
+    def yield_place(self) -> None:
+        """Reset the connection, which has been idle for longest, because there is a new one."""
+        self._metrics.count("peer_refused_connections_total")
+        self.close()
+
     def _on_connected(self) -> None:
+        if not self._connections.admit(self):
+            self.yield_place()
+            return
+        self._connections.begin_wait(self)
         self._hello_timer = self._loop.call_later(HELLO_TIMEOUT_S, self._hello_timed_out)
         self._send_challenge()
 
@@ -81,7 +105,27 @@
         self._metrics.count("peer_refused_hellos_total", "timeout")
         self.connection.abort()
 
+    def _on_partial(self, announced_bytes: int, read_bytes: int) -> bool:
+        """Count a message's bytes before they arrive; return whether there is room for them."""
+        memory = self._memory
+        if not announced_bytes:
+            if memory.held_bytes:
+                memory.release_all()
+            return True
+        if not memory.waits:
+            memory.begin_wait()
+        memory.record_progress(read_bytes)
+        added_bytes = MESSAGE_COPIES * announced_bytes - memory.held_bytes
+        if added_bytes <= 0:
+            memory.release(-added_bytes)
+        elif not memory.try_hold(added_bytes):
+            self._metrics.count("peer_dropped_messages_total", "overloaded")
+            return False
+        return True
+
     def _on_payload(self, payload: bytes) -> None:
+        if self._sender is not None:
+            self._connections.begin_wait(self)
         if self._sender is None:
             self._finish_handshake(payload)
         elif self._partitioned():
@@ -117,6 +161,9 @@
 
     def _on_lost(self, _: Exception | None) -> None:
         self._cancel_timers()
+        self._memory.end_wait()
+        self._memory.release_all()
+        self._connections.remove(self)
         if self._sender is None and self._challenge is not None and not self._rejected:
             self._reject("closed")
         self._on_end(self)
--- a/src/springmux/node/peer/transport.py
+++ b/src/springmux/node/peer/transport.py
@@ -16,6 +16,7 @@
 from springmux.coordination.membership.view import MembershipView
 from springmux.coordination.state_machine import Event, LogLevel, MessageReceived, PeerMessage, message_name
 from springmux.node.addresses import split_address
+from springmux.node.http.sockets import accept_gradually
 from springmux.node.logs import EventLog
 from springmux.node.metrics.registry import NodeMetrics
 from springmux.node.peer.channel import OutgoingMessage, PeerChannel
@@ -23,6 +24,8 @@
 from springmux.node.peer.handshake import HandshakeAuthenticator
 from springmux.node.peer.inbound_connection import InboundConnection
 from springmux.node.peer.unknown_peers import UnknownPeerLog
+from springmux.node.resources.connection_limit import ConnectionLimit
+from springmux.node.resources.process_resources import ProcessResources
 
 LARGE_MESSAGE_BYTES = 64 << 10
 """Messages of at least this size (about one socket buffer) use the connection for large messages."""
@@ -69,6 +72,7 @@
         log: EventLog,
         metrics: NodeMetrics,
         randomness: random.Random,
+        resources: ProcessResources | None = None,
         partitioned: Callable[[], bool] = lambda: False,
     ) -> None:
         self._codec = codec
@@ -79,6 +83,10 @@
         self._metrics = metrics
         self._random = randomness
         self._partitioned = partitioned
+        resources = resources or ProcessResources()
+        max_inbound = resources.connections.peers
+        self._memory = resources.memory
+        self._inbound_limit = ConnectionLimit(lambda: max_inbound, asyncio.get_running_loop().time)
         self._unknown = UnknownPeerLog(log)
         self._channels: dict[_ChannelKey, PeerChannel] = {}
         self._server: asyncio.Server | None = None
@@ -91,9 +99,7 @@
         :raises OSError: if the address can't be bound.
         """
         host, port = split_address(address)
-        self._server = await asyncio.get_running_loop().create_server(
-            self._accept, host, port, backlog=BACKLOG, reuse_address=True
-        )
+        self._server = await accept_gradually(self._accept, host, port, BACKLOG)
 
     async def close(self) -> None:
         """Close the listener and every connection."""
@@ -183,6 +189,8 @@
             self._log,
             self._metrics,
             self._partitioned,
+            self._memory,
+            self._inbound_limit,
         )
         self._inbound_connections.add(inbound)
         return inbound.connection
