Chat completions: bodies, unread responses and connections are bounded

Seen by callers: 32 unfinished bodies of 8 MB at the client or the admin listener made a node hold 401 to 428 MB of its 200; 800 connections took all its descriptors.

Cause: bodies were kept in parts without a bound for the process; the admin listener bounded nothing; a client that pipelined requests and did not read got responses without an end.

Change: LimitedProtocol counts a connection's body and unread bytes in the process's budget and has it yield while it waits for its client; both listeners have a share of the descriptors. A pipelined request waits until the responses before it are read.

--- a/src/springmux/node/admin/errors.py
+++ b/src/springmux/node/admin/errors.py
@@ -6,10 +6,13 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
 
+from springmux.node.client.body_reader import BodyRejectedError
 from springmux.node.client.error_responses import NOT_FOUND_HINT, error_body, error_headers
 from springmux.node.logs import EventLog
 from springmux.vocabulary.errors import ApiError, ApiResponseError, ErrorCode, FieldError
 
+OVERLOAD_RETRY_S = 1.0
+
 
 def invalid_field_error(path: str, message: str) -> ApiResponseError:
     """Return a 400 error that names one invalid field."""
@@ -41,6 +44,19 @@
     return ApiResponseError(ApiError(code=code, message=message, status=422, errors=errors))
 
 
+def rejection_error(rejected: BodyRejectedError) -> ApiResponseError:
+    """Return the error for a body that was not read."""
+    retry_after_s = OVERLOAD_RETRY_S if rejected.code is ErrorCode.OVERLOADED else None
+    return ApiResponseError(
+        ApiError(
+            code=rejected.code,
+            message=rejected.message,
+            status=rejected.status,
+            retry_after_s=retry_after_s,
+        )
+    )
+
+
 def error_response(error: ApiError) -> web.Response:
     """Return the HTTP response of a typed error."""
     return web.Response(status=error.status, body=error_body(error), headers=error_headers(error))
--- a/src/springmux/node/client/listener.py
+++ b/src/springmux/node/client/listener.py
@@ -4,24 +4,29 @@
 
 import asyncio
 import uuid
-from typing import Any, cast
+from typing import Any, NoReturn, cast
 
 import msgspec
-from aiohttp import HttpVersion11, StreamReader, web
+from aiohttp import HttpVersion11, web
 
 from springmux.coordination.state_machine import Tick
 from springmux.node.addresses import split_address
+from springmux.node.client.body_reader import BodyRejectedError, read_body
 from springmux.node.client.error_responses import JSON_TYPE, refused_error
 from springmux.node.client.protocol import ClientProtocol
 from springmux.node.client.request_runner import RequestRunner, RunnerServices
 from springmux.node.client.response_writer import ResponseWriter
 from springmux.node.health import HEALTH_BODY, HEALTH_PATH, READY_PATH, NodeHealth
+from springmux.node.http.sockets import accept_gradually
+from springmux.node.resources.connection_limit import ConnectionLimit
+from springmux.node.resources.process_resources import ProcessResources
 from springmux.node.settings import NodeSettings
 from springmux.router.events import ClientRequest, KeyRevoked, StopRequested
 from springmux.vocabulary.errors import ApiError, ApiResponseError, ErrorCode
 from springmux.vocabulary.names import RequestId
 
 LISTEN_BACKLOG = 1024
+OVERLOAD_RETRY_S = 1.0
 STOP_MARGIN_S = 1.0
 """Time to send the last bytes of aborted streams after the grace period."""
 
@@ -54,7 +59,16 @@
 class ClientListener:
     """Accepts clients at one address, and runs their requests."""
 
-    def __init__(self, settings: NodeSettings, services: RunnerServices, health: NodeHealth) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        services: RunnerServices,
+        health: NodeHealth,
+        resources: ProcessResources | None = None,
+    ) -> None:
+        self.resources = resources or ProcessResources(settings.memory_mb, settings.max_descriptors)
+        max_connections = min(settings.max_connections, self.resources.connections.front)
+        self.connections = ConnectionLimit(lambda: max_connections, asyncio.get_running_loop().time)
         self.node = settings.node
         self.max_header_bytes = settings.max_header_bytes
         self.header_timeout_s = settings.header_timeout_s
@@ -63,7 +77,6 @@
         self._health = health
         self._metrics = services.metrics
         self._runners: dict[RequestId, RequestRunner] = {}
-        self._connections = 0
         self._stopping = False
         self._idle = asyncio.Event()
         self._idle.set()
@@ -81,9 +94,7 @@
         """
         host, port = split_address(self._settings.client_address)
         self._protocols = _ClientServer(self._serve, self, self._settings.keep_alive_s)
-        self._server = await asyncio.get_running_loop().create_server(
-            self._protocols, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
-        )
+        self._server = await accept_gradually(self._protocols, host, port, LISTEN_BACKLOG)
 
     def stop_accepting(self) -> None:
         """Close the listening socket; each open connection closes after its next response."""
@@ -119,19 +130,15 @@
         """Return how many running requests wait for their client to read."""
         return sum(runner.paused() for runner in self._runners.values())
 
-    def admit(self) -> bool:
-        """Return whether one more connection is allowed, and count it."""
-        if self._connections >= self._settings.max_connections:
+    def connection_begun(self, admitted: bool) -> None:
+        """Count a new connection."""
+        if not admitted:
             self._metrics.count("client_connections_refused_total")
-            return False
-        self._connections += 1
-        self._metrics.set("client_connections", self._connections)
-        return True
+        self._metrics.set("client_connections", len(self.connections))
 
     def connection_ended(self) -> None:
         """Record the end of an admitted connection."""
-        self._connections -= 1
-        self._metrics.set("client_connections", self._connections)
+        self._metrics.set("client_connections", len(self.connections))
 
     def count_error(self, error: ApiError) -> None:
         """Count an error response that was sent outside a request flow."""
@@ -140,6 +147,15 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         protocol = cast(ClientProtocol, request.protocol)
+        # A client that pipelines requests and does not read its responses gets no further ones.
+        await protocol._drain_helper()  # noqa: SLF001 - aiohttp writes without it
+        protocol.begin_request()
+        try:
+            return await self._serve_request(request, protocol)
+        finally:
+            protocol.end_request()
+
+    async def _serve_request(self, request: web.BaseRequest, protocol: ClientProtocol) -> web.StreamResponse:
         writer = ResponseWriter(
             cast(Any, protocol),
             keep_alive=request.keep_alive and not self._stopping,
@@ -215,7 +231,7 @@
         if not self._runners:
             self._idle.set()
 
-    def _raise_refusal(self, code: ErrorCode, status: int, message: str, request_id: str) -> None:
+    def _raise_refusal(self, code: ErrorCode, status: int, message: str, request_id: str) -> NoReturn:
         raise ApiResponseError(refused_error(code, message, status, self.node, request_id))
 
     def _check_head(self, request: web.BaseRequest, request_id: str) -> None:
@@ -236,31 +252,26 @@
             )
 
     async def _read_body(self, request: web.BaseRequest, request_id: str) -> bytes:
-        limit = self._settings.max_body_bytes
-        if (request.content_length or 0) > limit:
-            self._raise_refusal(ErrorCode.BODY_TOO_LARGE, 413, f"the body is over {limit} bytes", request_id)
-        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
-            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if (request.content_length or 0) <= self._settings.max_body_bytes:
+            self._send_continue(request)
         if not request.body_exists:
             return b""
-        content = request.content
-        if content.is_eof() and content.exception() is None and content.total_bytes <= limit:
-            return content.read_nowait()  # short bodies arrive together with their headers
-        return await self._read_chunks(content, limit, request_id)
-
-    async def _read_chunks(self, content: StreamReader, limit: int, request_id: str) -> bytes:
-        chunks: list[bytes] = []
-        size = 0
+        protocol = cast(ClientProtocol, request.protocol)
         try:
             async with asyncio.timeout(self._settings.body_timeout_s):
-                while chunk := await content.readany():
-                    size += len(chunk)
-                    if size > limit:
-                        text = f"the body is over {limit} bytes"
-                        self._raise_refusal(ErrorCode.BODY_TOO_LARGE, 413, text, request_id)
-                    chunks.append(chunk)
+                return await read_body(request, protocol, self._settings.max_body_bytes)
+        except BodyRejectedError as rejected:
+            raise ApiResponseError(self._rejection(rejected, request_id)) from None
         except TimeoutError:
             self._raise_refusal(ErrorCode.REQUEST_TIMEOUT, 408, "the body came too slowly", request_id)
         except (web.RequestPayloadError, ValueError):
             self._raise_refusal(ErrorCode.INVALID_REQUEST, 400, "the body's framing is broken", request_id)
-        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+
+    def _send_continue(self, request: web.BaseRequest) -> None:
+        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _rejection(self, rejected: BodyRejectedError, request_id: str) -> ApiError:
+        error = refused_error(rejected.code, rejected.message, rejected.status, self.node, request_id)
+        retry_after_s = OVERLOAD_RETRY_S if rejected.code is ErrorCode.OVERLOADED else None
+        return msgspec.structs.replace(error, retry_after_s=retry_after_s)
--- a/src/springmux/node/client/protocol.py
+++ b/src/springmux/node/client/protocol.py
@@ -9,10 +9,12 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
-from aiohttp.web_protocol import RequestHandler
 
 from springmux.node.client.error_responses import error_body, error_headers, refused_error
+from springmux.node.client.limited_protocol import LimitedProtocol
 from springmux.node.client.response_writer import ResponseWriter
+from springmux.node.resources.connection_limit import ConnectionLimit
+from springmux.node.resources.process_resources import ProcessResources
 from springmux.router.events import ClientDisconnected
 from springmux.vocabulary.errors import ApiError, ErrorCode
 
@@ -38,9 +40,11 @@
     node: str
     max_header_bytes: int
     header_timeout_s: float
+    resources: ProcessResources
+    connections: ConnectionLimit
 
-    def admit(self) -> bool:
-        """Return whether one more connection is allowed, and count it."""
+    def connection_begun(self, admitted: bool) -> None:
+        """Handle a new connection."""
 
     def connection_ended(self) -> None:
         """Handle the end of an admitted connection."""
@@ -49,18 +53,19 @@
         """Count an error response sent outside any request."""
 
 
-class ClientProtocol(RequestHandler):
+class ClientProtocol(LimitedProtocol):
     """One client's connection. ``runner`` runs the current request, if any."""
 
-    __slots__ = ("_admitted", "_header_timer", "_owner", "_received_bytes", "runner")
+    __slots__ = ("_header_timer", "_owner", "_received_bytes", "runner")
 
     def __init__(self, manager: Any, owner: ConnectionOwner, keep_alive_s: float) -> None:
         super().__init__(
             manager,
-            loop=asyncio.get_running_loop(),
+            owner.resources,
+            owner.connections,
             keepalive_timeout=keep_alive_s,
             logger=quiet_logger,
-            access_log=None,  # type: ignore[arg-type]
+            access_log=None,
             max_line_size=owner.max_header_bytes,
             max_field_size=owner.max_header_bytes,
             max_headers=MAX_HEADERS,
@@ -68,30 +73,31 @@
             auto_decompress=False,
         )
         self._owner = owner
-        self._admitted = False
         self._header_timer: asyncio.TimerHandle | None = None
         self._received_bytes = 0
         self.runner: RequestRunner | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Admit the connection, or respond 503 if the node has too many connections."""
-        super().connection_made(transport)
         assert isinstance(transport, asyncio.Transport)
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._admitted = self._owner.admit()
-        if not self._admitted:
-            self.reject(ErrorCode.OVERLOADED, 503, "too many connections to this node", 1.0)
-            return
-        self._arm_header_timer()
+        super().connection_made(transport)
+        self._owner.connection_begun(self.admitted)
+        if self.admitted:
+            self._arm_header_timer()
+
+    def refuse_overload(self, message: str) -> None:
+        """Respond 503, which promises that the request was not executed, and close."""
+        self.reject(ErrorCode.OVERLOADED, 503, message, 1.0)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Notify the running request that its client has disconnected."""
         self._stop_header_timer()
-        if self._admitted:
-            self._admitted = False
-            self._owner.connection_ended()
         runner = self.runner
         super().connection_lost(exc)
+        if self.admitted:
+            self.admitted = False
+            self._owner.connection_ended()
         if runner is not None:
             runner.deliver(ClientDisconnected())
 
--- a/src/springmux/node/client/response_writer.py
+++ b/src/springmux/node/client/response_writer.py
@@ -28,6 +28,9 @@
 
     async def _drain_helper(self) -> None: ...
 
+    def count_unread(self) -> int:
+        """Count, and return, the bytes that the client has not read and the kernel has no room for."""
+
 
 class ResponseWriter:
     """The response to one request. ``keep_alive`` may become false, and then stays so.
@@ -124,6 +127,7 @@
         transport = self._connection.transport
         if transport is not None and not transport.is_closing():
             transport.write(pending[0] if len(pending) == 1 else b"".join(pending))
+            self._connection.count_unread()
         pending.clear()
 
 
--- a/src/springmux/node/daemon.py
+++ b/src/springmux/node/daemon.py
@@ -26,6 +26,7 @@
 from springmux.node.peer.agent_codec import AgentCodec
 from springmux.node.peer.handshake import HandshakeAuthenticator
 from springmux.node.peer.transport import PeerTransport
+from springmux.node.resources.process_resources import ProcessResources
 from springmux.node.settings import NodeSettings
 from springmux.node.storage.opening import OpenedStorage
 from springmux.node.storage.worker import StorageWorker
@@ -50,7 +51,9 @@
         self._settings = settings
         self._log = log
         self._fault_injector = fault_injector
+        self._resources = ProcessResources(settings.memory_mb, settings.max_descriptors)
         self.metrics = NodeMetrics()
+        self.metrics.add_source(self._resources.metric_values)
         self.stop_requested = stop_requested or asyncio.Event()
         randomness = random.Random(int.from_bytes(os.urandom(8), "big"))
         self.agent = NodeAgent(
@@ -89,6 +92,7 @@
             self._log,
             self.metrics,
             randomness,
+            self._resources,
             partitioned=injector.partitioned if injector is not None else lambda: False,
         )
 
@@ -106,7 +110,7 @@
             metrics=self.metrics,
             log=self._log,
         )
-        return ClientListener(self._settings, services, self._health)
+        return ClientListener(self._settings, services, self._health, self._resources)
 
     def _make_admin_listener(self) -> AdminListener:
         return AdminListener(
@@ -118,6 +122,7 @@
             self._history,
             self._upstream.rates,
             self._health,
+            self._resources,
             self._fault_injector,
         )
 
