Soak: clients that don't behave, on every listener, and a bound on memory

Forty clients a fleet send unfinished heads and bodies, tiny chunks, bodies far over the limit, requests whose responses they don't read, single bytes, or nothing, to the front, ready, control and peer listeners, while processes are struck and configurations change. Rule *bounded*: no process holds more than 200 MB. The other events of a seed are as before.

--- a/src/springmux/cli/soak.py
+++ b/src/springmux/cli/soak.py
@@ -29,13 +29,16 @@
     change_period_s: Annotated[
         float, typer.Option(help="Mean seconds between configuration changes.", min=0.05)
     ] = 0.4,
+    misbehaving: Annotated[
+        int, typer.Option(help="Clients of the fleet that send parts of requests and read nothing.", min=0)
+    ] = 40,
     keep: Annotated[
         Path | None, typer.Option(help="Folder that keeps the settings, data and logs of failed seeds.")
     ] = None,
 ) -> None:
     """Run a soak test of gateway processes on loopback; the seed determines every event.
 
-    Clients use open connections until the process has ended.
+    Clients use open connections until the process has ended, while others misbehave on every listener.
 
     Exit codes: 0 no violation was found, 1 a rule was violated.
 
@@ -48,7 +51,7 @@
         fail("there can't be more controllers than nodes", ExitCode.INVALID)
     # SIGTERM raises KeyboardInterrupt like SIGINT, so that the run ends its processes.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    size = SoakSize(nodes, controllers, zones, seconds, change_period_s, connections)
+    size = SoakSize(nodes, controllers, zones, seconds, change_period_s, connections, misbehaving)
     failed: list[int] = []
     for seed in range(first_seed, first_seed + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"springmux-soak-{seed}-"))
--- a/src/springmux/lab/soak/configurations.py
+++ b/src/springmux/lab/soak/configurations.py
@@ -9,6 +9,8 @@
 
 HOST = "soak.example"
 SERVICES = ("first", "second")
+PROBE_REQUEST_ID = "probe"
+"""Request id of the run's own requests and of misbehaving clients, which engines may run more than once."""
 KEPT_ROUTES = 40
 """Number of newest numbered routes in a version; each version adds one."""
 MOVING_PATH = "/moving/"
--- a/src/springmux/lab/soak/findings.py
+++ b/src/springmux/lab/soak/findings.py
@@ -26,6 +26,8 @@
     """Engines run a request at most once, and not at all if it was refused."""
     DRAINED = "drained"
     """Undisturbed nodes send an engine nothing more soon after any node acknowledged that it stops."""
+    BOUNDED = "bounded"
+    """No process holds more memory than the smallest machine has, whatever its clients do."""
     END = "end"
     """Processes exit only on request, within their grace period, with code 0."""
 
--- a/src/springmux/lab/soak/fleet.py
+++ b/src/springmux/lab/soak/fleet.py
@@ -24,6 +24,9 @@
 DISTURBANCE_EFFECT_S = 3.0
 """Time after the last disturbance until a node, or the group of controllers, counts as undisturbed."""
 POLL_S = 0.02
+MEMORY_BYTES = 200_000_000
+"""Memory of the smallest machine on which a node runs."""
+MEMORY_CHECK_PERIOD_S = 0.5
 
 
 class SoakNode:
@@ -123,6 +126,17 @@
             self.ended.set()
         return code
 
+    def most_memory_bytes(self) -> int:
+        """Return the most memory that the current process has held, 0 if there is none."""
+        if self.process is None:
+            return 0
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text("utf-8")
+        except OSError:
+            return 0
+        peaks = [line for line in status.splitlines() if line.startswith("VmHWM")]
+        return int(peaks[0].split()[1]) * 1024 if peaks else 0
+
     @property
     def _settings_file(self) -> Path:
         return self._folder / f"{self.name}.toml"
@@ -149,6 +163,7 @@
         ]
         self._seeds = [node.host for node in self.nodes[: min(SEEDS, size.controllers)]]
         self._watch_task: asyncio.Task[None] | None = None
+        self._memory_check_at = 0.0
         self._stopping_all = False
 
     def control_endpoints(self) -> list[ControlEndpoint]:
@@ -280,9 +295,22 @@
             node.started = True
             self._record_disturbance(node)
 
+    def _check_memory(self) -> None:
+        """Check the peak memory of every process, now and then."""
+        now = time.monotonic()
+        if now < self._memory_check_at:
+            return
+        self._memory_check_at = now + MEMORY_CHECK_PERIOD_S
+        for node in self.nodes:
+            held_bytes = node.most_memory_bytes()
+            if held_bytes > MEMORY_BYTES:
+                what = f"{node.name} (life {node.incarnation}) held {held_bytes / 1e6:.0f} MB"
+                self._findings.add(Rule.BOUNDED, what)
+
     async def _watch_processes(self) -> None:
         """Detect exits; an unrequested exit, or a requested one with a code other than 0, is a finding."""
         while True:
+            self._check_memory()
             for node in self.nodes:
                 self._detect_start(node)
                 code = node.poll()
--- a/src/springmux/lab/soak/plan.py
+++ b/src/springmux/lab/soak/plan.py
@@ -57,6 +57,8 @@
     change_period_s: float = 0.4
     connections: int = 3
     """Number of open connections to each node."""
+    misbehaving: int = 40
+    """Number of misbehaving clients of the whole fleet."""
 
 
 def make_plan(seed: int, size: SoakSize) -> tuple[Step, ...]:
--- a/src/springmux/lab/soak/run.py
+++ b/src/springmux/lab/soak/run.py
@@ -12,13 +12,14 @@
 import msgspec
 
 from springmux.lab.soak.clients import SoakClient
-from springmux.lab.soak.configurations import HOST
+from springmux.lab.soak.configurations import HOST, PROBE_REQUEST_ID
 from springmux.lab.soak.consistency_checker import IN_FORCE_S, ConsistencyChecker
 from springmux.lab.soak.engine_pool import SoakEngines
 from springmux.lab.soak.findings import Finding, Findings, Rule
 from springmux.lab.soak.fleet import DISTURBANCE_EFFECT_S, FRONT_PORT, SoakFleet
 from springmux.lab.soak.history import ConfigurationHistory
 from springmux.lab.soak.http_connection import request_once
+from springmux.lab.soak.misbehaving_clients import MisbehavingClient
 from springmux.lab.soak.operators import SoakOperators, read_configuration
 from springmux.lab.soak.plan import SoakSize, Step, make_first_steps, make_plan
 
@@ -26,8 +27,6 @@
 """Time for many processes on a busy machine to start and for the controllers to form their group."""
 FINAL_CHECK_TIMEOUT_S = 10.0
 POLL_S = 0.2
-PROBE_REQUEST_ID = "probe"
-"""Request id of the run's own requests, which engines may run more than once."""
 
 
 class SoakReport(msgspec.Struct, frozen=True):
@@ -75,6 +74,17 @@
             for node in self._fleet.nodes
             for number in range(size.connections)
         ]
+        # Drawn apart, so that the other events of a seed don't depend on these clients.
+        drawn_apart = random.Random(f"misbehaving clients {seed}")
+        self._misbehaving = [
+            MisbehavingClient(
+                self._fleet.nodes,
+                self._newest_key,
+                random.Random(drawn_apart.getrandbits(64)),
+                self._findings.count,
+            )
+            for _ in range(size.misbehaving)
+        ]
 
     async def run(self) -> SoakReport:
         """Run the soak and return its report."""
@@ -97,6 +107,7 @@
             return
         loop = asyncio.get_running_loop()
         clients = [loop.create_task(client.run()) for client in self._clients]
+        clients += [loop.create_task(client.run()) for client in self._misbehaving]
         changes = loop.create_task(self._operators.run())
         self._engines.begin_replacements()
         await self._execute_plan()
@@ -159,11 +170,16 @@
         """Request the newest acknowledged route of a node; return the status, 0 without a response."""
         newest = self._history.newest_acknowledged(time.monotonic())
         assert newest is not None
-        headers = {"host": HOST, "x-api-key": newest.keys[-1], "x-request-id": PROBE_REQUEST_ID}
+        headers = {"host": HOST, "x-api-key": self._newest_key(), "x-request-id": PROBE_REQUEST_ID}
         path = newest.numbered_path()
         response = await request_once(host, FRONT_PORT, "POST", path, headers, b"", FINAL_CHECK_TIMEOUT_S)
         return response.status if response is not None else 0
 
+    def _newest_key(self) -> str:
+        newest = self._history.newest_acknowledged(time.monotonic())
+        assert newest is not None
+        return newest.keys[-1]
+
     def _check_executions(self) -> None:
         for request_id in self._checker.refused:
             if self._engines.runs(request_id):
