HTTP server: a connection's accounting is a class of its own; a head that begins has not stalled

ClientUsage holds what a connection counts in the budgets; the connection says when.

Found on the way: a kept connection's wait began with its last response, so the first part of its next head was taken for that of a client that had stalled since then, and yielded at once to any other when memory was short. The wait now begins with the head's first part. The new test fails with the code as it was before.

--- a/src/springmux/node/http/connection_owner.py
+++ b/src/springmux/node/http/connection_owner.py
@@ -7,11 +7,11 @@
 from springmux.node.http.server_exchange import HttpServerExchange
 from springmux.node.http.types import RequestHead, ServerLimits, ServerRefusal
 from springmux.node.resources.connection_limit import ConnectionLimit, LimitedConnection
-from springmux.node.resources.memory_budget import MemoryClass
+from springmux.node.resources.memory_budget import MemoryClass, MemoryHolder
 from springmux.node.resources.process_resources import ProcessResources
 
 
-class OwnedConnection(LimitedConnection, Protocol):
+class OwnedConnection(LimitedConnection, MemoryHolder, Protocol):
     """A client's connection, as its server uses it."""
 
     def close_if_idle(self) -> None:
--- a/src/springmux/node/http/server_connection.py
+++ b/src/springmux/node/http/server_connection.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from springmux.node.http.bodies import request_body_decoder
+from springmux.node.http.client_usage import ClientUsage
 from springmux.node.http.connection_owner import ConnectionOwner
 from springmux.node.http.framing import encode_response_head
 from springmux.node.http.heads import MalformedMessageError, RequestHeadReader
@@ -27,10 +28,6 @@
 _MAX_READ_BYTES = 64 * 1024
 # Pipelined bytes buffered before reading pauses. Reading continues until then to detect a disconnection.
 _MAX_BUFFERED_BYTES = 64 * 1024
-# Held of an engine's response while the client does not read: buffers of its connection, and the kernel's.
-_RELAYED_BYTES = 64 * 1024
-# How often a head is held at most: as received, as sent to an engine, and as the metadata of its prompt.
-_HEAD_COPIES = 4
 _SERVICE_UNAVAILABLE = 503
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REFUSAL_STATUSES = {
@@ -76,8 +73,7 @@
         self._expects_continue = False
         self._reading = True
         self._write_gate = WriteGate()
-        self._memory = owner.resources.memory.open(self, owner.memory_class)
-        self._unread_bytes = 0
+        self._usage = ClientUsage(self, owner)
 
     # Called by the event loop.
 
@@ -89,7 +85,7 @@
         self._transport.set_write_buffer_limits(high=0)
         limit_read_size(self._transport, _MAX_READ_BYTES)
         if self._owner.connection_opened(self):
-            self._owner.connections.begin_wait(self)
+            self._usage.begin_wait()
             # Not the idle timeout: no request has shown yet that the client reuses the connection.
             self._set_timer(self._limits.header_timeout_s, self._close)
         else:
@@ -116,22 +112,21 @@
         self._disconnect_exchange()
         self._write_gate.open()
         self._reader = None
-        self._release_memory()
+        self._usage.release_all()
         self._owner.connection_closed(self)
 
     def pause_writing(self) -> None:
         """Make writers wait: the client's socket is full."""
         self._write_gate.close()
-        self._begin_wait()
+        self._usage.begin_wait()
         self._count_unread()
 
     def resume_writing(self) -> None:
         """Let writers continue: the client's socket accepts bytes again."""
-        self._memory.release(self._unread_bytes)
-        self._unread_bytes = 0
+        self._usage.all_read()
         self._write_gate.open()
         if self._phase is _Phase.EXCHANGE and self._exchange is not None and self._exchange.body_complete:
-            self._end_wait()
+            self._usage.end_wait()
         elif self._phase is _Phase.IDLE and self._buffered:
             self._loop.call_soon(self._process_buffered)
 
@@ -149,7 +144,7 @@
 
     def try_hold(self, size_bytes: int) -> bool:
         """Count bytes of a response that are held until it ends; return whether there is room for them."""
-        return self._memory.try_hold(size_bytes, reserved=False)
+        return self._usage.memory.try_hold(size_bytes, reserved=False)
 
     def send_continue(self) -> None:
         """Send ``100 Continue`` if the client expects it, once the handler reads the body."""
@@ -175,7 +170,7 @@
         self._exchange = None
         if self._write_gate.closed:
             self._count_unread()
-        self._memory.release(self._memory.held_bytes - self._unread_bytes - len(self._buffered))
+        self._usage.release_request(len(self._buffered))
         self._set_timer(None)
         self._owner.request_ended()
         if not exchange.body_complete or exchange.body_too_large:
@@ -185,7 +180,7 @@
         else:
             # Deferred by one loop iteration, or the next handler's response would be nested in this call.
             self._phase = _Phase.IDLE
-            self._begin_wait()
+            self._usage.begin_wait()
             self._set_timer(self._owner.limits_now().idle_timeout_s, self._close)
             if self._buffered:
                 self._loop.call_soon(self._process_buffered)
@@ -237,7 +232,7 @@
         if self._phase is not _Phase.IDLE or self._write_gate.closed:
             return
         data, self._buffered = self._buffered, b""
-        self._memory.release(len(data))
+        self._usage.memory.release(len(data))
         self._set_reading(True)
         if data:
             self._receive_head(data)
@@ -263,23 +258,12 @@
             elif used is not None:
                 self._begin_exchange(reader, data[used:])
             else:
-                self._hold_partial_head(len(data))
+                self._usage.hold_partial_head(len(data), first=reader.size_bytes == len(data))
         except MalformedMessageError:
             self._refuse(ServerRefusal.MALFORMED)
         except MemoryExhaustedError:
             self._refuse(ServerRefusal.OVERLOADED)
 
-    def _hold_partial_head(self, size_bytes: int) -> None:
-        """Count a part of a head, whose end the connection waits for.
-
-        :raises MemoryExhaustedError: there is no room for it.
-        """
-        if not self._memory.waits:
-            self._begin_wait()
-        if not self._memory.try_hold(size_bytes * _HEAD_COPIES):
-            raise MemoryExhaustedError
-        self._memory.record_progress(size_bytes)
-
     def _begin_head(self) -> None:
         self._phase = _Phase.HEAD
         self._limits = self._owner.limits_now()
@@ -289,10 +273,9 @@
     def _begin_exchange(self, reader: RequestHeadReader, rest: bytes) -> None:
         head = reader.head()
         decoder, announced_bytes = request_body_decoder(head)
-        self._begin_wait() if not decoder.done else self._end_wait()
-        if not self._memory.try_hold(max(0, reader.size_bytes * _HEAD_COPIES - self._memory.held_bytes)):
-            raise MemoryExhaustedError
-        body = RequestBody(decoder, announced_bytes, self._limits.max_body_bytes, self._memory)
+        self._usage.begin_wait() if not decoder.done else self._usage.end_wait()
+        self._usage.hold_head(reader.size_bytes)
+        body = RequestBody(decoder, announced_bytes, self._limits.max_body_bytes, self._usage.memory)
         self._reader = None
         http_1_0 = reader.version == "1.0"
         self._keep_alive = reader.keep_alive and not http_1_0
@@ -316,7 +299,7 @@
             self._buffer(data)
             return
         self._expects_continue = False
-        self._memory.record_progress(len(data))
+        self._usage.memory.record_progress(len(data))
         try:
             exchange.feed(data)
         except MalformedMessageError:
@@ -343,19 +326,19 @@
         self._set_timer(None)
         self._set_reading(True)
         if not self._write_gate.closed:
-            self._end_wait()
+            self._usage.end_wait()
         if exchange.body_rest:
             self._buffer(exchange.body_rest)
 
     def _buffer(self, data: bytes) -> None:
-        if not self._memory.try_hold(len(data), reserved=False):
+        if not self._usage.memory.try_hold(len(data), reserved=False):
             self._yield(ServerRefusal.OVERLOADED)
             return
         self._buffered += data
         if len(self._buffered) > _MAX_BUFFERED_BYTES:
             # While reading is paused, a disconnection is not detected, so the connection yields to others.
             self._set_reading(False)
-            self._begin_wait()
+            self._usage.begin_wait()
 
     def _set_reading(self, enabled: bool) -> None:
         if enabled == self._reading or self._transport.is_closing():
@@ -366,27 +349,10 @@
         else:
             self._transport.pause_reading()
 
-    # Counting what the connection holds.
-
-    def _begin_wait(self) -> None:
-        """Record that the connection waits for its client, to send or to read."""
-        self._memory.begin_wait()
-        self._owner.connections.begin_wait(self)
-
-    def _end_wait(self) -> None:
-        self._memory.end_wait()
-        self._owner.connections.end_wait(self)
-
     def _count_unread(self) -> None:
-        """Count the bytes that the client has not read and the kernel has no room for."""
-        unread_bytes = self._transport.get_write_buffer_size()
-        if self._exchange is not None:
-            unread_bytes += _RELAYED_BYTES
-        added_bytes = unread_bytes - self._unread_bytes
-        self._unread_bytes = unread_bytes
-        if added_bytes < 0:
-            self._memory.release(-added_bytes)
-        elif not self._memory.try_hold(added_bytes):
+        """Count what the client has not read; without room for it, the connection yields."""
+        buffered_bytes = self._transport.get_write_buffer_size()
+        if not self._usage.count_unread(buffered_bytes, relaying=self._exchange is not None):
             # Later, because the exchange is still writing.
             self._loop.call_soon(self._yield_unread)
 
@@ -394,10 +360,6 @@
         if self._write_gate.closed and self._phase is not _Phase.CLOSING:
             self._yield(ServerRefusal.OVERLOADED)
 
-    def _release_memory(self) -> None:
-        self._end_wait()
-        self._memory.release_all()
-
     # Closing.
 
     def _body_timed_out(self) -> None:
@@ -415,7 +377,7 @@
 
     def _disconnect_exchange(self) -> None:
         exchange, self._exchange = self._exchange, None
-        self._release_memory()
+        self._usage.release_all()
         if exchange is not None:
             exchange.client_disconnected()
             self._write_gate.open()
@@ -424,7 +386,7 @@
     def _refuse(self, refusal: ServerRefusal, head: RequestHead | None = None) -> None:
         self._owner.request_refused(refusal, head)
         self._reader = None
-        self._release_memory()
+        self._usage.release_all()
         status = _REFUSAL_STATUSES[refusal]
         headers = _RETRY_LATER if status == _SERVICE_UNAVAILABLE else ()
         framing = ((b"content-length", b"0"), (b"connection", b"close"))
@@ -434,9 +396,9 @@
     def _close_lingering(self) -> None:
         """Send EOF, then discard what the client still sends until the lingering timeout."""
         self._phase = _Phase.LINGERING
-        self._memory.release(len(self._buffered))
+        self._usage.memory.release(len(self._buffered))
         self._buffered = b""
-        self._begin_wait()
+        self._usage.begin_wait()
         self._set_reading(True)
         if self._transport.is_closing():
             return
@@ -446,7 +408,7 @@
     def _close(self) -> None:
         """Close once everything is written, or abort if the client doesn't read it in time."""
         self._phase = _Phase.CLOSING
-        self._begin_wait()
+        self._usage.begin_wait()
         self._transport.close()
         self._set_timer(self._limits.idle_timeout_s, self._transport.abort)
 
--- a/tests/unit/node/http/test_server_yields.py
+++ b/tests/unit/node/http/test_server_yields.py
@@ -87,6 +87,23 @@
         assert server.server.resources.memory.held_bytes == 0
 
 
+async def test_a_head_that_begins_after_a_long_pause_has_not_stalled() -> None:
+    requests, now = Requests(), 100.0
+    async with small_server(requests) as server:
+        server.server.resources.memory = MemoryBudget(CAPACITY, lambda: now)
+        client = await server.connect()
+        client.send(b"GET / HTTP/1.1\r\n\r\n")
+        await client.expect(OK)
+        now += 100.0  # the client is idle, and holds nothing
+        client.send(b"GET / HTTP/1.1\r\n")
+        await until_held(server, 1)
+        other = await server.connect()
+        other.send(b"POST / HTTP/1.1\r\nContent-Length: 60000\r\n\r\n")
+        await other.expect(REFUSAL_503)
+        client.send(b"\r\n")
+        await client.expect(OK)
+
+
 async def test_a_body_without_room_is_refused_while_no_other_yields() -> None:
     requests = Requests()
     async with small_server(requests) as server:
