Peers, chat completions: what begins after a pause has not stalled

Cause: as with the heads of kept connections: a peer's wait, and that for a client to read, kept the time of the message or response before. A peer's next unfinished message yielded at once when memory was short.

Change: the wait ends with the message, and begins anew with the next, or with the first bytes that a client leaves unread.

Evidence: the new test of a peer after a long pause fails with the code before; three further tests hold the counting of unfinished messages. For unread responses of the chat-completions listener there is no such test.

--- a/src/springmux/node/client/limited_protocol.py
+++ b/src/springmux/node/client/limited_protocol.py
@@ -112,11 +112,12 @@
         """Count, and return, the bytes that the client has not read and the kernel has no room for."""
         unread_bytes = self.transport.get_write_buffer_size() if self.transport is not None else 0
         added_bytes = unread_bytes - self._unread_bytes
+        everything_was_read = not self._unread_bytes
         self._unread_bytes = unread_bytes
         if added_bytes <= 0:
             self._memory.release(-added_bytes)
             return unread_bytes
-        if not self._memory.waits:
+        if everything_was_read:
             self._memory.begin_wait()
         if not self._memory.try_hold(added_bytes) and self.transport is not None:
             self.transport.abort()
--- a/src/springmux/node/peer/inbound_connection.py
+++ b/src/springmux/node/peer/inbound_connection.py
@@ -109,7 +109,8 @@
         """Count a message's bytes before they arrive; return whether there is room for them."""
         memory = self._memory
         if not announced_bytes:
-            if memory.held_bytes:
+            if memory.waits:
+                memory.end_wait()
                 memory.release_all()
             return True
         if not memory.waits:
