Contact: a majority of the controllers is enough for changes, reads and departures

Cause: the contact rule needed a majority of all known nodes, and a dead node stops counting only after 30 s of contact, which the rest never had.

Change: a node is in contact with a majority of the controllers, or of all known nodes. In large fleets controllers exchange heartbeats, the leader's beacon carries that evidence, and nodes whose evidence is older than 1 s ask the controllers themselves. Founding a group needs most of all nodes, as before.

--- a/src/springmux/agent/agent.py
+++ b/src/springmux/agent/agent.py
@@ -327,6 +327,7 @@
             effects += self._dispatcher.deliver(self._components.directory, contact, now)
             effects += self._dispatcher.deliver(self._components.quota, contact, now)
             effects += self._leadership.announce_candidates(now)
+        effects += self._leadership.check_founding(now)
         was_ready = self._readiness.ready
         if self._readiness.check(now):
             effects += self._publish_readiness(was_ready, now)
--- a/src/springmux/agent/components.py
+++ b/src/springmux/agent/components.py
@@ -146,7 +146,7 @@
         return random.Random(seed_source.getrandbits(64))
 
     own = NodeId(settings.node)
-    contact = ContactMonitor(own, _expects_peers(settings), generator())
+    contact = ContactMonitor(own, _expects_peers(settings), generator(), controllers_expected=settings.voters)
     quota = QuotaAllocator(own, generator())
     rollout = RolloutCoordinator(own, ZoneName(settings.zone), generator(), RolloutSettings())
     router = Router(own, settings.zone, generator(), rollout.filter, quota, contact.connected)
--- a/src/springmux/agent/control_handlers.py
+++ b/src/springmux/agent/control_handlers.py
@@ -103,11 +103,11 @@
         return self._dispatcher.deliver_to_replica(raft.ConfirmRead(effect.correlation_id), now)
 
     def _on_propose(self, effect: ProposeCommand, now: float) -> list[Effect]:
-        """Propose a command unless most nodes are out of contact, even if the replicas have a quorum.
+        """Propose a command unless this node is out of contact, even if the replicas have a quorum.
 
-        Nodes out of contact keep serving the last state, so no change that they can't receive may be
-        acknowledged. The same applies to nodes that this one knew before its restart and hasn't contacted
-        since. The order coordinator retries the order until its deadline.
+        The voters may be fewer than the controllers, and a change must reach every node that is in contact
+        with a majority of the controllers. Peers that this node knew before its restart and hasn't contacted
+        since are awaited for a limited time. The order coordinator retries the order until its deadline.
         """
         contact, membership = self._components.contact, self._components.membership
         if not contact.connected(now) or membership.awaits_remembered_peers(now):
--- a/src/springmux/agent/leadership_handlers.py
+++ b/src/springmux/agent/leadership_handlers.py
@@ -29,6 +29,7 @@
         self._group_exists = False
         """Whether some node has a control state, so that a control group exists and none may be founded."""
         self._candidates_announced = False
+        self._may_found = False
 
     @property
     def known(self) -> LeadershipKnown:
@@ -64,9 +65,9 @@
         """
         if self._components.replica is None:
             return []
-        leader = self.known.leader
-        exists = self._group_exists or leader is not None
-        if not exists and not self._components.contact.connected(now):
+        exists = self._group_is_known
+        self._may_found = self._components.contact.connected_to_most_nodes(now)
+        if not exists and not self._may_found:
             if not self._candidates_announced:
                 return []
             return self._dispatcher.deliver_to_replica(FoundingCandidates((), False), now)
@@ -77,7 +78,20 @@
             if record.replica is not None
         )
         known = self._components.membership.known_controllers()
-        return self._dispatcher.deliver_to_replica(FoundingCandidates(members, exists, leader, known), now)
+        candidates = FoundingCandidates(members, exists, self.known.leader, known)
+        return self._dispatcher.deliver_to_replica(candidates, now)
+
+    @property
+    def _group_is_known(self) -> bool:
+        return self._group_exists or self.known.leader is not None
+
+    def check_founding(self, now: float) -> list[Effect]:
+        """Announce the candidates when contact with most nodes changed, without which none are announced."""
+        if self._components.replica is None or self._group_is_known:
+            return []
+        if self._components.contact.connected_to_most_nodes(now) == self._may_found:
+            return []
+        return self.announce_candidates(now)
 
     def _announce_leadership(self, now: float) -> list[Effect]:
         known, components, deliver = self.known, self._components, self._dispatcher.deliver
--- a/src/springmux/coordination/membership/contact_beacon.py
+++ b/src/springmux/coordination/membership/contact_beacon.py
@@ -1,12 +1,13 @@
 """The leader's beacon in large fleets: relayed down a tree of nodes, with counts reported back up.
 
-The confirmation by the leader's quorum isn't enough: a leader with a quorum that reaches only a minority of
-the nodes provides no evidence of contact. Therefore relays count the nodes of their subtrees, and beacons
-carry the age of the last count that was a majority.
+The confirmation by the leader's quorum isn't enough, since the voters may be fewer than the controllers: a
+leader must be in contact with a majority of the controllers or of all nodes. For the latter, relays count the
+nodes of their subtrees. Beacons carry the age of the newer evidence.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from springmux.coordination.identifiers import NodeId, ZoneName
@@ -70,17 +71,26 @@
         """Return when the next count must be reported, complete or not."""
         return min((r.report_at for r in self._rounds.values() if not r.reported), default=NEVER)
 
-    def send_as_leader(self, term: int, quorum_at: float, majority: int, now: float) -> list[Effect]:
-        """Send the next beacon as the leader, which its quorum confirmed at ``quorum_at``."""
+    def send_as_leader(
+        self, term: int, quorum_at: float, controllers_at: float, majority: int, now: float
+    ) -> list[Effect]:
+        """Send the next beacon as the leader, which its quorum confirmed at ``quorum_at``.
+
+        :param controllers_at: time at which the leader was last in contact with a majority of the
+            controllers, or minus infinity.
+        :param majority: number of nodes that are a majority of the fleet.
+        """
         if term < self._newest[0]:
             return []
         sequence = self._newest[1] + 1 if term == self._newest[0] else 1
         self._find_majority_round(term, majority)
         self._newest = (term, sequence)
-        proven_at = None if self._majority_reached_at is None else min(self._majority_reached_at, quorum_at)
-        if proven_at is not None:
+        nodes_at = -math.inf if self._majority_reached_at is None else self._majority_reached_at
+        proven_at = min(quorum_at, max(nodes_at, controllers_at))
+        is_proven = math.isfinite(proven_at)
+        if is_proven:
             self._add_evidence(proven_at, now)
-        age_ms = -1 if proven_at is None else int(1000 * (now - proven_at))
+        age_ms = int(1000 * (now - proven_at)) if is_proven else -1
         targets = zone_targets(self._zones, self._own, sequence, self._settings.relay_fanout)
         self._start_round(None, len(targets), now)
         return [
--- a/src/springmux/coordination/membership/contact_freshness.py
+++ b/src/springmux/coordination/membership/contact_freshness.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 
 import xxhash
 
@@ -43,11 +42,6 @@
         """Discard all evidence."""
         self._evidence.clear()
 
-    def evidence_times(self, nodes: Iterable[NodeId]) -> list[float]:
-        """Return the times of the newest evidence of those of ``nodes`` that have any."""
-        evidence = self._evidence
-        return [evidence[node] for node in nodes if node in evidence]
-
     def newest_evidence_at(self, node: NodeId) -> float:
         """Return the time of the newest evidence of ``node``, or minus infinity without any."""
         return self._evidence.get(node, -math.inf)
--- a/src/springmux/coordination/membership/contact_heartbeats.py
+++ b/src/springmux/coordination/membership/contact_heartbeats.py
@@ -55,11 +55,6 @@
         evidence = self._evidence
         return sum(1 for node in nodes if evidence.get(node, since - 1.0) >= since)
 
-    def evidence_times(self, nodes: Iterable[NodeId]) -> list[float]:
-        """Return the times of the newest evidence of those of ``nodes`` that have any."""
-        evidence = self._evidence
-        return [evidence[node] for node in nodes if node in evidence]
-
     def newest_evidence_at(self, node: NodeId) -> float:
         """Return the time of the newest evidence of ``node``, or minus infinity without any."""
         return self._evidence.get(node, -math.inf)
--- a/src/springmux/coordination/membership/contact_monitor.py
+++ b/src/springmux/coordination/membership/contact_monitor.py
@@ -1,20 +1,25 @@
-"""The contact rule: whether this node is in contact with a majority of the known nodes.
+"""The contact rule: whether this node is in contact with the part of the fleet that makes decisions.
 
-A node out of contact must not serve, since the rest of the fleet may make decisions without it. With up to
-``direct_nodes_max`` known nodes the evidence is heartbeats between all of them; in larger fleets it is the
-leader's beacon, or freshness vectors while there is no leader.
+That part has a majority of the controllers. Nodes without a disk make no decisions, so any number of them
+may be gone. A fleet that lost the majority of its controllers makes no decisions at all; its nodes then go on
+with the last state while they are in contact with a majority of all known nodes.
+
+With up to ``direct_nodes_max`` known nodes the evidence is heartbeats between all of them. In larger fleets
+the controllers exchange heartbeats; the other nodes' evidence is the leader's beacon, or freshness vectors
+while there is no leader, and heartbeats to the controllers while these don't arrive.
 """
 
 from __future__ import annotations
 
 import math
 import random
+from collections.abc import Iterable
 
 from springmux.coordination.identifiers import NodeId
 from springmux.coordination.membership.contact_beacon import BeaconRelay
 from springmux.coordination.membership.contact_freshness import FreshnessVector
 from springmux.coordination.membership.contact_heartbeats import HeartbeatEvidence
-from springmux.coordination.membership.contact_known_nodes import KnownNodes
+from springmux.coordination.membership.contact_known_nodes import KnownNodes, is_controller
 from springmux.coordination.membership.contact_messages import (
     ContactBeacon,
     ContactCount,
@@ -45,6 +50,7 @@
     """Decides :meth:`connected` and sends the messages that provide the evidence.
 
     :param has_seeds: whether seeds are configured; a node without seeds may be the only one of its fleet.
+    :param controllers_expected: number of controllers that the fleet is known to have, met or not.
     """
 
     def __init__(
@@ -53,26 +59,28 @@
         has_seeds: bool,
         random: random.Random,
         settings: ContactSettings | None = None,
+        controllers_expected: int = 1,
     ) -> None:
         self._own = own
         self._has_seeds = has_seeds
         self._random = random
         self._settings = settings or ContactSettings()
         self._known = KnownNodes(own, self._settings)
+        self._controllers = KnownNodes(own, self._settings, is_controller, controllers_expected)
         self._heartbeats = HeartbeatEvidence(random)
         self._freshness = FreshnessVector(own)
         self._beacons = BeaconRelay(own, self._settings)
         self._handled_at: float | None = None
         self._paused_at: float | None = None
-        self._connected_since: float | None = None
         self._was_connected = False
         self._connected_until = -math.inf
         self._heartbeat_at = 0.0
+        self._controller_heartbeat_at = 0.0
         self._beacon_at = 0.0
 
     @property
     def known_count(self) -> int:
-        """Return the number of known nodes, of which a majority is needed; for status pages."""
+        """Return the number of known nodes; for status pages."""
         return len(self._known)
 
     def known_peers(self) -> tuple[NodeId, ...]:
@@ -89,22 +97,21 @@
 
     def fresh_count(self, now: float) -> int:
         """Return how many known nodes, including this one, have fresh evidence at ``now``."""
+        return self._count_fresh(self._known, now)
+
+    def _count_fresh(self, nodes: Iterable[NodeId], now: float) -> int:
         since = now - self._settings.evidence_s
-        return 1 + sum(1 for proven_at in self._evidence_times() if proven_at >= since)
+        return sum(1 for node in nodes if node == self._own or self._evidence_at(node) >= since)
 
-    def _evidence_times(self) -> list[float]:
-        others = [node for node in self._known if node != self._own]
-        if self._uses_heartbeats:
-            return self._heartbeats.evidence_times(others)
+    def _evidence_at(self, node: NodeId) -> float:
+        """Return the time of the newest evidence of contact with ``node``, or minus infinity."""
+        heard_at = self._heartbeats.newest_evidence_at(node)
         # After the fleet grew over the limit, round trips still count until they expire, since the first
         # beacon takes a while.
-        return [
-            max(self._heartbeats.newest_evidence_at(node), self._freshness.newest_evidence_at(node))
-            for node in others
-        ]
+        return heard_at if self._uses_heartbeats else max(heard_at, self._freshness.newest_evidence_at(node))
 
     def connected(self, now: float) -> bool:
-        """Return whether this node is in contact with a majority of the known nodes.
+        """Return whether this node is in contact with a majority of the controllers or of all known nodes.
 
         A positive result is cached, so that a call per request is cheap. It is valid until its evidence
         expires, or until a pause of this process or a change of the known nodes discards it.
@@ -114,20 +121,37 @@
         self._connected_until = self._compute_connected_until(now)
         return now <= self._connected_until
 
+    def proven_at(self, now: float) -> float:
+        """Return the time of the newest evidence for :meth:`connected`, or minus infinity without any."""
+        return self._compute_connected_until(now) - self._settings.evidence_s
+
+    def connected_to_most_nodes(self, now: float) -> bool:
+        """Return whether this node has fresh evidence of a majority of all known nodes.
+
+        Unlike :meth:`connected` this doesn't hold among controllers that are cut off from the other nodes.
+        """
+        if self._is_alone:
+            return not self._has_seeds
+        since = now - self._settings.evidence_s
+        return max(self._beacon_at_if_trusted(now), self._known.proven_at(self._evidence_at)) >= since
+
+    @property
+    def _is_alone(self) -> bool:
+        return not self._known.has_met_others and len(self._known) == 1
+
+    def _beacon_at_if_trusted(self, now: float) -> float:
+        beacon_at = self._beacons.evidence_at if self._trusts_relayed_evidence(now) else None
+        return -math.inf if beacon_at is None else beacon_at
+
     def _compute_connected_until(self, now: float) -> float:
-        if not self._known.has_met_others and len(self._known) == 1:
+        if self._is_alone:
             return -math.inf if self._has_seeds else math.inf
-        needed = self._known.majority() - 1
-        if needed == 0:
-            return math.inf
         # Beacons also count after the fleet shrank below the limit, since direct evidence takes two
-        # heartbeats.
-        beacon_at = self._beacons.evidence_at if self._trusts_relayed_evidence(now) else None
-        if beacon_at is not None and now <= beacon_at + self._settings.evidence_s:
-            # A fresh beacon suffices; the evidence of each node needn't be checked.
-            return beacon_at + self._settings.evidence_s
-        times = sorted(self._evidence_times(), reverse=True)
-        proven_at = times[needed - 1] if len(times) >= needed else -math.inf
+        # heartbeats. A fresh one suffices; the evidence of each node needn't be checked.
+        beacon_until = self._beacon_at_if_trusted(now) + self._settings.evidence_s
+        if now <= beacon_until:
+            return beacon_until
+        proven_at = max(known.proven_at(self._evidence_at) for known in (self._controllers, self._known))
         return proven_at + self._settings.evidence_s
 
     def reason(self, now: float) -> str:
@@ -136,7 +160,8 @@
             return ""
         if not self._known.has_met_others and len(self._known) == 1:
             return "not joined any node yet"
-        return f"in contact with {self.fresh_count(now)} of {len(self._known)} known nodes"
+        controllers = f"{self._count_fresh(self._controllers, now)} of {len(self._controllers)} controllers"
+        return f"in contact with {self.fresh_count(now)} of {len(self._known)} known nodes, {controllers}"
 
     def _beacon_timed_out(self, now: float) -> bool:
         received_at = self._beacons.evidence_received_at
@@ -159,6 +184,7 @@
     def _apply_view(self, event: MembershipUpdated, now: float) -> list[Effect]:
         before = set(self._known.present)
         self._known.update(event.view, now)
+        self._controllers.update(event.view, now)
         self._beacons.set_nodes({record.node: record.zone for record in event.view.present()})
         self._handle_known_nodes_change()
         # Sent immediately, not in the next period, so that a starting node is soon in contact.
@@ -194,10 +220,6 @@
 
     def _report_change(self, now: float) -> list[Effect]:
         is_connected = self.connected(now)
-        if is_connected and self._connected_since is None:
-            self._connected_since = now
-        if not is_connected:
-            self._connected_since = None
         if is_connected == self._was_connected:
             return []
         self._was_connected = is_connected
@@ -209,20 +231,42 @@
         effects = [] if self._uses_heartbeats else self._beacons.report(now)
         if now < self._heartbeat_at:
             return effects
-        before = len(self._known)
-        self._known.expire(now, self._connected_since)
-        if len(self._known) != before:
-            self._handle_known_nodes_change()
+        self._expire_known_nodes(now)
         if self._uses_heartbeats:
             self._heartbeat_at = now + self._settings.heartbeat_period_s
             return effects + self._heartbeats.send(self._known.present, now)
         self._heartbeat_at = now + self._settings.gossip_period_s * self._random.uniform(0.9, 1.1)
+        effects += self._send_controller_heartbeats(now)
         if self._paused_at is not None:
             effects += self._probe_after_pause(now)
         if self._beacon_timed_out(now):
             effects += self._send_vectors(now)
         return effects
 
+    def _expire_known_nodes(self, now: float) -> None:
+        before = len(self._known) + len(self._controllers)
+        since = now - self._settings.evidence_s
+        beacon_at = self._beacon_at_if_trusted(now)
+        for known in (self._known, self._controllers):
+            known.record_contact(max(beacon_at, known.proven_at(self._evidence_at)) >= since, now)
+            known.expire(now)
+        if len(self._known) + len(self._controllers) != before:
+            self._handle_known_nodes_change()
+
+    def _send_controller_heartbeats(self, now: float) -> list[Effect]:
+        """Send heartbeats to the controllers of a large fleet.
+
+        Controllers always do, since the leader needs contact with most of them. Other nodes do while their
+        other evidence grows old, since the nodes that relay it may be gone.
+        """
+        if now < self._controller_heartbeat_at:
+            return []
+        is_fresh = now - self.proven_at(now) < self._settings.ask_controllers_s
+        if is_fresh and self._own not in self._controllers:
+            return []
+        self._controller_heartbeat_at = now + self._settings.heartbeat_period_s
+        return self._heartbeats.send(self._controllers.present, now)
+
     def _probe_after_pause(self, now: float) -> list[Effect]:
         if self._trusts_relayed_evidence(now):
             self._paused_at = None
@@ -242,7 +286,10 @@
             return []
         self._beacon_at = now + self._settings.beacon_period_s * 0.9
         quorum_at = now - event.age_s
-        return self._beacons.send_as_leader(event.term, quorum_at, self._known.majority(), now)
+        controllers_at = min(quorum_at, self._controllers.proven_at(self._evidence_at))
+        return self._beacons.send_as_leader(
+            event.term, quorum_at, controllers_at, self._known.majority(), now
+        )
 
     def _receive(self, sender: NodeId, message: PeerMessage, now: float) -> list[Effect]:
         if isinstance(message, ContactHeartbeat):
@@ -259,7 +306,8 @@
 
     def _receive_heartbeat(self, sender: NodeId, heartbeat: ContactHeartbeat, now: float) -> list[Effect]:
         self._heartbeats.receive(sender, heartbeat)
-        is_regular = self._uses_heartbeats and sender in self._known.present
+        both_controllers = self._own in self._controllers and sender in self._controllers.present
+        is_regular = both_controllers or (self._uses_heartbeats and sender in self._known.present)
         # A sender without fresh evidence gets an immediate reply instead of the echo of the next period.
         is_proven = self._heartbeats.newest_evidence_at(sender) >= now - self._settings.evidence_s
         return [] if (is_regular and is_proven) or heartbeat.is_reply else [self._heartbeats.reply(sender)]
--- a/src/springmux/coordination/membership/settings.py
+++ b/src/springmux/coordination/membership/settings.py
@@ -80,6 +80,9 @@
     gossip_period_s: float = 0.2
     gossip_fanout: int = 3
     relay_fanout: int = 6
+    ask_controllers_s: float = 1.0
+    """Age of the newest evidence from which a node of a large fleet sends the controllers heartbeats itself.
+    With a leader beacons keep it below this."""
     pause_s: float = 0.7
     quarantine_s: float = 0.3
     """Time after a pause in which relayed evidence is ignored, since it may have waited in socket buffers."""
