Directory: hops of a relay are acknowledged, and a relay that is gone is replaced

Cause: a change was relayed once, over trees whose inner nodes were taken from all present nodes; nobody noticed that one was dead. The repairing digests went to the dead as well, which stayed present for long.

Change: a hop that isn't acknowledged within 0.3 s is replaced by its parent, which splits the range among the others in it. Suspects and peers that didn't answer relay nothing and get no digest. A node that just came into contact sends digests four times a second for 3 s. A node with proof of contact since a suspicion declares the death though most of its own probes fail.

The encoded form of DirectoryRelay is unchanged: the acknowledgement names its salt and range.

--- a/src/springmux/agent/components.py
+++ b/src/springmux/agent/components.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from springmux.agent.directory.engine_directory import EngineDirectory
@@ -158,7 +159,7 @@
     freshness = _freshness_monitor(settings, state, delivery, generator())
     gateway = GatewayCore(settings.zone, generator(), rollout.filter, usage, freshness.is_current)
     return NodeComponents(
-        membership=_membership(settings, recovered, remembered, generator()),
+        membership=_membership(settings, recovered, remembered, generator(), contact.proven_at),
         contact=contact,
         directory=EngineDirectory(own, generator()),
         delivery=delivery,
@@ -192,6 +193,7 @@
     recovered: RecoveredState | None,
     remembered: tuple[RememberedPeer, ...],
     generator: random.Random,
+    quorum_proven_at: Callable[[float], float],
 ) -> Membership:
     return Membership(
         own_record(settings, recovered),
@@ -199,4 +201,5 @@
         generator,
         MembershipSettings(remembered_wait_s=settings.contact_s),
         remembered if recovered is not None else None,
+        quorum_proven_at,
     )
--- a/src/springmux/agent/directory/anti_entropy.py
+++ b/src/springmux/agent/directory/anti_entropy.py
@@ -1,4 +1,4 @@
-"""Dissemination of directory entries: relay trees spread changes, anti-entropy repairs what they missed."""
+"""Repair of what relayed changes missed: exchanges of digests between pairs of nodes."""
 
 from __future__ import annotations
 
@@ -10,49 +10,14 @@
     DirectoryDigest,
     DirectoryEntries,
     DirectoryInSync,
-    DirectoryRelay,
     EngineIncarnation,
     LostEnginesQuery,
 )
-from springmux.agent.directory.owner_nodes import OwnerNodes
 from springmux.agent.directory.settings import DirectorySettings
 from springmux.agent.directory.table import DirectoryTable
+from springmux.agent.directory.unresponsive_peers import UnresponsivePeers
 from springmux.coordination.identifiers import NodeId
-from springmux.coordination.membership.relay import RelayTarget, range_targets, zone_targets
-from springmux.coordination.state_machine import Effect, PeerMessage, Send
-
-
-def relay_entries(
-    entries: list[DirectoryEntry],
-    owners: OwnerNodes,
-    own: NodeId,
-    generator: random.Random,
-    settings: DirectorySettings,
-) -> list[Effect]:
-    """Return the first messages that relay changed entries to all nodes."""
-    effects: list[Effect] = []
-    for start in range(0, len(entries), settings.entries_per_message):
-        chunk = tuple(entries[start : start + settings.entries_per_message])
-        for _ in range(settings.relay_trees):
-            salt = generator.randrange(1 << 32)
-            targets = zone_targets(owners.zones, own, salt, settings.relay_fanout)
-            effects += _relay_messages(targets, chunk, salt)
-    return effects
-
-
-def forward_relay(
-    message: DirectoryRelay, owners: OwnerNodes, own: NodeId, settings: DirectorySettings
-) -> list[Effect]:
-    """Return the messages that forward a received relay within the node's own zone."""
-    zone_peers = [node for node, zone in owners.zones.items() if zone == owners.own_zone]
-    targets = range_targets(zone_peers, own, message.salt, message.low, message.high, settings.relay_fanout)
-    return _relay_messages(targets, message.entries, message.salt)
-
-
-def _relay_messages(
-    targets: list[RelayTarget], entries: tuple[DirectoryEntry, ...], salt: int
-) -> list[Effect]:
-    return [Send(t.node, DirectoryRelay(entries, salt, t.low, t.high)) for t in targets]
+from springmux.coordination.state_machine import NEVER, Effect, PeerMessage, Send
 
 
 class AntiEntropy:
@@ -61,18 +26,38 @@
     The nodes compare root hashes, then bucket hashes, then exchange the entries of differing buckets.
     """
 
-    def __init__(self, table: DirectoryTable, settings: DirectorySettings, generator: random.Random) -> None:
+    def __init__(
+        self,
+        table: DirectoryTable,
+        unresponsive: UnresponsivePeers,
+        settings: DirectorySettings,
+        generator: random.Random,
+    ) -> None:
         self._table = table
+        self._unresponsive = unresponsive
         self._settings = settings
         self._random = generator
+        self._settling_until = -NEVER
         self.due_at = 0.0
 
+    def settle(self, now: float) -> None:
+        """Send digests more often for a while, since contact was just established."""
+        self._settling_until = now + self._settings.settling_s
+        self.due_at = min(self.due_at, now + self._settings.settling_digest_period_s)
+
     def begin(self, nodes: list[NodeId], now: float) -> list[Effect]:
-        """Send this node's root hash to a random node if the exchange is due."""
+        """Send this node's root hash to a random node if the exchange is due.
+
+        :param nodes: the other present nodes; those that don't answer are avoided.
+        """
         if now < self.due_at:
             return []
-        self.due_at = now + self._settings.digest_period_s * self._random.uniform(0.9, 1.1)
-        return self.digests([self._random.choice(nodes)]) if nodes else []
+        settling = now < self._settling_until
+        period_s = self._settings.settling_digest_period_s if settling else self._settings.digest_period_s
+        self.due_at = now + period_s * self._random.uniform(0.9, 1.1)
+        unresponsive = self._unresponsive.among(nodes, now)
+        candidates = [node for node in nodes if node not in unresponsive] or nodes
+        return self.digests([self._random.choice(candidates)]) if candidates else []
 
     def digests(self, receivers: list[NodeId], reply_wanted: bool = False) -> list[Effect]:
         """Return the root hash for each receiver, after a query about lost engines if there are any."""
--- a/src/springmux/agent/directory/engine_directory.py
+++ b/src/springmux/agent/directory/engine_directory.py
@@ -9,8 +9,9 @@
 import random
 
 from springmux.agent.directory import messages as wire
-from springmux.agent.directory.anti_entropy import AntiEntropy, forward_relay, relay_entries
+from springmux.agent.directory.anti_entropy import AntiEntropy
 from springmux.agent.directory.catch_up import CatchUp
+from springmux.agent.directory.change_relay import ChangeRelay
 from springmux.agent.directory.effects import EnginesChanged
 from springmux.agent.directory.engine_monitor import EngineMonitor, MonitorResult
 from springmux.agent.directory.entry import (
@@ -27,6 +28,7 @@
 from springmux.agent.directory.settings import DirectorySettings
 from springmux.agent.directory.stops import Stop, StopReorderBuffer
 from springmux.agent.directory.table import DirectoryTable
+from springmux.agent.directory.unresponsive_peers import UnresponsivePeers
 from springmux.agent.events import EngineAnnounced, EngineDraining, EngineHeartbeat, EngineLeft
 from springmux.coordination.identifiers import NodeId
 from springmux.coordination.membership.events import ContactChanged, MembershipUpdated
@@ -48,12 +50,13 @@
 
     def __init__(self, own: NodeId, random: random.Random, settings: DirectorySettings | None = None) -> None:
         self._own = own
-        self._random = random
         self._settings = settings or DirectorySettings()
         self._table = DirectoryTable()
         self._owners = OwnerNodes(own, self._settings)
         self._monitor = EngineMonitor(own, self._table, self._owners, self._settings)
-        self._anti_entropy = AntiEntropy(self._table, self._settings, random)
+        self._unresponsive = UnresponsivePeers(self._settings.unresponsive_s)
+        self._anti_entropy = AntiEntropy(self._table, self._unresponsive, self._settings, random)
+        self._relay = ChangeRelay(own, self._owners, self._unresponsive, random, self._settings)
         self._catch_up = CatchUp(self._settings, random)
         self._handled_at: float | None = None
         self._relay_queue = RelayQueue(self._table, self._settings)
@@ -73,6 +76,7 @@
         """Return when the next tick is due."""
         deadline = min(self._anti_entropy.due_at, self._monitor.next_deadline(), self._scan_at)
         deadline = min(deadline, self._forwarder.due_at, self._catch_up.due_at, self._relay_queue.due_at)
+        deadline = min(deadline, self._relay.due_at)
         if self._unpublished:
             deadline = min(deadline, self._publish_at)
         return deadline
@@ -87,6 +91,7 @@
             effects += self._handle_message(event.sender, event.message, now)
         elif isinstance(event, MembershipUpdated):
             self._owners.update_view(event.view)
+            self._unresponsive.update_view(event.view)
         elif isinstance(event, ContactChanged):
             effects += self._change_contact(event, now)
         else:
@@ -105,6 +110,7 @@
             self._catch_up.stop()
             return []
         self._catch_up.begin(event.peers, now)
+        self._anti_entropy.settle(now)
         return self._send_catch_up_digests(now)
 
     def _send_catch_up_digests(self, now: float) -> list[Effect]:
@@ -123,7 +129,7 @@
 
     def _relay_changes(self, now: float) -> list[Effect]:
         entries = self._relay_queue.take(self._batch_s(), now)
-        return relay_entries(entries, self._owners, self._own, self._random, self._settings)
+        return self._relay.send(entries, now)
 
     def _publish(self, now: float) -> list[Effect]:
         self._unpublished = self._unpublished or self._table.entries_changed
@@ -236,13 +242,17 @@
         self._scan(now)
         others = [node for node in self._owners.zones if node != self._own]
         effects = self._forwarder.send(now) + self._apply_result(self._monitor.vote(now), now)
+        effects += self._relay.replace_expired(now)
         effects += self._anti_entropy.begin(others, now)
         return effects + self._send_catch_up_digests(now)
 
     def _handle_message(self, sender: NodeId, message: object, now: float) -> list[Effect]:
+        self._unresponsive.discard(sender)
         if isinstance(message, wire.DirectoryRelay):
             effects = self._merge_received(message.entries, now)
-            return effects + forward_relay(message, self._owners, self._own, self._settings)
+            return effects + self._relay.forward(sender, message, now)
+        if isinstance(message, wire.DirectoryRelayAck):
+            self._relay.acknowledge(sender, message)
         if isinstance(message, wire.EngineHeartbeatsRelay):
             return self._apply_result(self._monitor.handle_heartbeats(message.incarnations, now), now)
         if isinstance(message, wire.EngineTimeoutVote):
--- a/src/springmux/agent/directory/messages.py
+++ b/src/springmux/agent/directory/messages.py
@@ -17,7 +17,10 @@
 
 
 class DirectoryRelay(PeerMessage, frozen=True, tag="DirectoryRelay"):
-    """Changed entries; the receiver relays them to the nodes of its zone in ``[low, high)``."""
+    """Changed entries; the receiver relays them to the nodes of its zone in ``[low, high)``.
+
+    It acknowledges them unless that range is empty.
+    """
 
     entries: tuple[DirectoryEntry, ...]
     salt: int
@@ -25,6 +28,14 @@
     high: int = 0
 
 
+class DirectoryRelayAck(PeerMessage, frozen=True, tag="DirectoryRelayAck"):
+    """The sender received the relay with this salt and range, and takes care of the range."""
+
+    salt: int
+    low: int
+    high: int
+
+
 class EngineHeartbeatsRelay(PeerMessage, frozen=True, tag="DirectoryHeard"):
     """Heartbeats that the sender just received, forwarded to the engines' owner nodes."""
 
@@ -76,6 +87,7 @@
 
 MESSAGES: tuple[type[PeerMessage], ...] = (
     DirectoryRelay,
+    DirectoryRelayAck,
     EngineHeartbeatsRelay,
     EngineTimeoutVote,
     DirectoryDigest,
--- a/src/springmux/agent/directory/settings.py
+++ b/src/springmux/agent/directory/settings.py
@@ -17,6 +17,10 @@
     """How long a vote counts: three vote periods, so that one lost vote doesn't keep a lost engine ready."""
     votes_per_message: int = 100
     digest_period_s: float = 1.0
+    settling_s: float = 3.0
+    """Time after contact was established in which peers may not know this node yet, so that their relays miss
+    it. It sends digests every ``settling_digest_period_s`` meanwhile."""
+    settling_digest_period_s: float = 0.25
     repair_period_s: float = 0.15
     """Delay of the next digest after an exchange that found differences, which is short because a new node
     receives its directory bucket by bucket."""
@@ -30,6 +34,14 @@
     relay_trees: int = 2
     """Each change is relayed over two trees with different salts, because at 5% message loss one tree misses
     about an eighth of 360 nodes."""
+    relay_ack_timeout_s: float = 0.3
+    """Time without an acknowledgement after which a relay is replaced. Several replacements in a row fit into
+    the 2 s."""
+    relay_attempts: int = 5
+    """Number of times that a range is relayed. At 360 nodes in 4 zones a range is down to single nodes after
+    three."""
+    unresponsive_s: float = 2.0
+    """Time for which a peer that didn't answer is neither used as a relay nor sent digests."""
     scan_period_s: float = 0.5
     scan_engines: int = 4
     """Engines whose owners are looked up per scan: 2,900 engines take about 6 minutes."""
--- a/src/springmux/coordination/membership/failure_detector.py
+++ b/src/springmux/coordination/membership/failure_detector.py
@@ -5,6 +5,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
+
 import msgspec
 
 from springmux.coordination.identifiers import NodeId
@@ -21,8 +24,17 @@
 different incarnations."""
 
 
+def never_proven(_now: float) -> float:
+    """Return the time of the evidence of a node whose contact with the fleet is never proven."""
+    return -math.inf
+
+
 class FailureDetector:
-    """Applies updates, decides suspicions, and refutes wrong updates by raising this node's incarnation."""
+    """Applies updates, decides suspicions, and refutes wrong updates by raising this node's incarnation.
+
+    :param quorum_proven_at: returns the time of the newest evidence of contact with the deciding part of the
+        fleet (``ContactMonitor.proven_at``).
+    """
 
     def __init__(
         self,
@@ -31,6 +43,7 @@
         queue: GossipQueue,
         health: LocalHealth,
         settings: MembershipSettings,
+        quorum_proven_at: Callable[[float], float] = never_proven,
     ) -> None:
         self.own = own
         self.leaving = False
@@ -38,6 +51,7 @@
         self._queue = queue
         self._health = health
         self._settings = settings
+        self._quorum_proven_at = quorum_proven_at
         self._suspicions: dict[NodeId, Suspicion] = {}
         self._clashes = 0
 
@@ -64,7 +78,12 @@
         return self.apply_status(suspicion, now)
 
     def decide_suspicions(self, now: float) -> list[Effect]:
-        """Declare suspects dead that didn't refute in time, unless the own probes since then failed too."""
+        """Declare suspects dead that didn't refute in time, unless this node may be the one that is cut off.
+
+        It isn't if most of its own probes since then succeeded, or if the contact rule proved since then that
+        it is on the deciding side: after the loss of most nodes, most probes of the others fail.
+        """
+        proven_at = self._quorum_proven_at(now) if self._suspicions else -math.inf
         factor = self._health.factor
         due = [
             node
@@ -74,7 +93,8 @@
         effects: list[Effect] = []
         for node in due:
             suspicion = self._suspicions[node]
-            if not self._health.may_declare_death(suspicion.started_at):
+            is_cut_off = proven_at <= suspicion.started_at
+            if is_cut_off and not self._health.may_declare_death(suspicion.started_at):
                 continue
             death = StatusUpdate(node, suspicion.incarnation, NodeStatus.DEAD, self.own.node)
             effects += self.apply_status(death, now)
--- a/src/springmux/coordination/membership/membership.py
+++ b/src/springmux/coordination/membership/membership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -22,7 +23,7 @@
     PeerUnreachable,
     SeedsChanged,
 )
-from springmux.coordination.membership.failure_detector import FailureDetector
+from springmux.coordination.membership.failure_detector import FailureDetector, never_proven
 from springmux.coordination.membership.gossip_queue import GossipQueue
 from springmux.coordination.membership.joining import Joiner
 from springmux.coordination.membership.prober import MakePing, Prober
@@ -51,6 +52,7 @@
         about this node.
     :param seeds: peer addresses of other processes; this node's own address is skipped.
     :param remembered: the peers stored on this node's disk, or ``None`` on a node without a disk.
+    :param quorum_proven_at: see :class:`FailureDetector`.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         random: random.Random,
         settings: MembershipSettings | None = None,
         remembered: tuple[RememberedPeer, ...] | None = None,
+        quorum_proven_at: Callable[[float], float] = never_proven,
     ) -> None:
         settings = self._settings = settings or MembershipSettings()
         self._random = random
@@ -67,7 +70,9 @@
         self._queue = GossipQueue(settings)
         self._health = LocalHealth(settings)
         self._prober = Prober(settings, self._health, random)
-        self._detector = FailureDetector(own, self._table, self._queue, self._health, settings)
+        self._detector = FailureDetector(
+            own, self._table, self._queue, self._health, settings, quorum_proven_at
+        )
         self._disseminator = Disseminator(self._table, self._queue, self._detector, random, settings)
         self._anti_entropy = AntiEntropy(self._table, self._detector, random, settings)
         others = [peer for peer in remembered or () if peer.node != own.node]
--- a/tests/unit/agent/test_most_nodes_gone.py
+++ b/tests/unit/agent/test_most_nodes_gone.py
@@ -1,6 +1,6 @@
-"""Most nodes without a disk are killed or frozen: the others still change and read as before.
+"""Most nodes without a disk are killed or frozen: the others still change, read and drain as before.
 
-Guards against decisions that need nodes that are gone.
+Guards against decisions that need, and relays and repairs that go through, nodes that are gone.
 """
 
 from __future__ import annotations
@@ -10,17 +10,23 @@
 import pytest
 
 from springmux.agent.effects import OrderAnswered
+from springmux.agent.events import EngineAnnounced, EngineLeft
 from springmux.control.commands import PutTemplate
 from springmux.control.freshness.events import ProofRequested
-from springmux.coordination.identifiers import NodeId
+from springmux.coordination.identifiers import Address, NodeId
 from springmux.simulation.hollow_fleet import FleetObserver, HollowFleet, HollowPlace, places_by_zone
-from springmux.simulation.world.faults import Freeze, Kill
-from springmux.vocabulary.names import OrderId
+from springmux.simulation.world.faults import CutPair, Freeze, Heal, Kill, Restart, Thaw
+from springmux.vocabulary.engines import EngineRecord, EngineStatus
+from springmux.vocabulary.names import EngineId, OrderId, ServiceName, VersionName
 
 CONTACT_S = 3.0
 ACKNOWLEDGED_WITHIN_S = 4.0
 IN_FORCE_WITHIN_S = 2.0
+DRAINED_WITHIN_S = 2.0
 GONE_SHARE = 0.6
+DOWN_S = 5.0
+LEAVING_ENGINES = 9
+LEAVING_WITHIN_S = 1.2
 SMALL = places_by_zone({"z1": 3, "z2": 3, "z3": 3, "z4": 3}, controllers=4)
 LARGE = places_by_zone({"z1": 15, "z2": 15, "z3": 15, "z4": 15}, controllers=5)
 SIZES = pytest.mark.parametrize("places", [SMALL, LARGE], ids=["12 nodes", "60 nodes"])
@@ -79,3 +85,99 @@
         fleet.world.deliver(node, ProofRequested())
         fleet.world.run_for(0.5)
         assert agents[node].state_proof_age_s(fleet.world.now) <= fleet.world.now - sent_at
+
+
+@LOSSES
+@SIZES
+@pytest.mark.parametrize("seed", range(8))
+def test_departures_reach_every_node_in_time_right_after_most_nodes_are_gone(
+    places: list[HollowPlace], loss: type[Kill | Freeze], seed: int
+) -> None:
+    fleet = ready_fleet(places, seed)
+    source = random.Random(seed)
+    engines = [announce(fleet, number) for number in range(LEAVING_ENGINES)]
+    fleet.world.run_for(CONTACT_S)
+    gone, staying = lose_most(fleet, loss, seed)
+    departed_at: dict[EngineId, float] = {}
+    for engine in engines:
+        fleet.world.run_for(LEAVING_WITHIN_S / LEAVING_ENGINES)
+        told = source.choice(staying)
+        assert fleet.agents()[told].ready, "the node acknowledges the departure"
+        fleet.world.deliver(told, EngineLeft(engine))
+        departed_at[engine] = fleet.world.now
+    for engine in engines:
+        fleet.world.run_for(max(0.0, departed_at[engine] + DRAINED_WITHIN_S - fleet.world.now))
+        assert nodes_listing_as_ready(fleet, engine, staying) == []
+    fleet.world.run_for(DOWN_S - DRAINED_WITHIN_S)
+    bring_back(fleet, loss, gone)
+    fleet.world.run_for(CONTACT_S)
+    assert [node for engine in engines for node in nodes_listing_as_ready(fleet, engine, gone)] == []
+
+
+@LOSSES
+@pytest.mark.parametrize("seed", range(8))
+def test_departures_reach_the_nodes_that_just_came_back(loss: type[Kill | Freeze], seed: int) -> None:
+    """Other nodes may not know yet that a node is back: their relays miss it, so it asks them itself."""
+    fleet = ready_fleet(SMALL, seed)
+    source = random.Random(seed)
+    engines = [announce(fleet, number) for number in range(LEAVING_ENGINES)]
+    fleet.world.run_for(CONTACT_S)
+    gone, staying = lose_most(fleet, loss, seed)
+    fleet.world.run_for(DOWN_S)
+    bring_back(fleet, loss, gone)
+    back_at = fleet.world.now
+    for engine in engines:
+        fleet.world.run_for(LEAVING_WITHIN_S / LEAVING_ENGINES)
+        fleet.world.deliver(source.choice(staying), EngineLeft(engine))
+    fleet.world.run_for(back_at + CONTACT_S + DRAINED_WITHIN_S - fleet.world.now)
+    everyone = [place.node for place in fleet.places()]
+    assert [node for engine in engines for node in nodes_listing_as_ready(fleet, engine, everyone)] == []
+
+
+def test_survivors_declare_the_others_dead_though_most_of_their_probes_fail() -> None:
+    fleet = ready_fleet(SMALL, seed=3)
+    gone, staying = lose_most(fleet, Kill, seed=3)
+
+    def known_dead() -> bool:
+        views = [fleet.agents()[node].membership for node in staying]
+        return all(not {record.node for record in view.present()} & set(gone) for view in views)
+
+    assert fleet.run_until(known_dead, 30)
+
+
+def test_nodes_cut_off_together_declare_no_death_without_contact() -> None:
+    """Without contact with the deciding side a node can't tell whether it or the others are cut off."""
+    fleet = ready_fleet(SMALL, seed=4)
+    cut_off = [place.node for place in SMALL if not place.controller][:3]
+    others = [place.node for place in SMALL if place.node not in cut_off]
+    for one in cut_off:
+        for other in others:
+            for source, target in ((one, other), (other, one)):
+                fleet.world.apply(CutPair(at=fleet.world.now, source=source, target=target))
+    fleet.world.run_for(20)
+    for node in cut_off:
+        view = fleet.agents()[node].membership
+        assert set(others) <= {record.node for record in view.present()}
+    fleet.world.apply(Heal(at=fleet.world.now))
+    assert fleet.run_until(fleet.all_ready, 10)
+
+
+def announce(fleet: HollowFleet, number: int) -> EngineId:
+    engine = EngineId(f"engine-{number}")
+    record = EngineRecord(
+        engine, ServiceName("text"), VersionName("v1"), Address(f"10.9.0.{number}:80"), 8, incarnation=1
+    )
+    fleet.world.deliver(fleet.places()[0].node, EngineAnnounced(record))
+    return engine
+
+
+def bring_back(fleet: HollowFleet, loss: type[Kill | Freeze], nodes: list[NodeId]) -> None:
+    for node in nodes:
+        repair = Restart if loss is Kill else Thaw
+        fleet.world.apply(repair(at=fleet.world.now, node=node))
+
+
+def nodes_listing_as_ready(fleet: HollowFleet, engine: EngineId, nodes: list[NodeId]) -> list[NodeId]:
+    agents = fleet.agents()
+    records = {node: agents[node].engines.engines.get(engine) for node in nodes if node in agents}
+    return [n for n, record in records.items() if record is not None and record.status is EngineStatus.READY]
