Rollout orders: an equal order after ackMs is a new one, at every node and after every restart

Cause: the order's id was made from its body alone, and the control state returns the first result of an id however old it is.

Change: the node that takes an order knows how long it has known of the decision on the last equal one, on a monotonic clock. After ackMs (order_resend_ms, 4 s by default) the order is new, and its id follows from the body and the revision of that decision, so that all nodes give it the same id and the log decides it once, whoever leads. A second more, and that long after a start, an equal order gets no clear answer (503). An order is taken, and a rollout shown, only with a proof that the node's state is the newest.

--- a/src/springmux/agent/agent.py
+++ b/src/springmux/agent/agent.py
@@ -14,6 +14,7 @@
 
 from springmux.agent.components import build_components, own_record
 from springmux.agent.control_handlers import ControlHandlers
+from springmux.agent.decision_times import DecisionAge
 from springmux.agent.effect_dispatcher import EffectDispatcher
 from springmux.agent.effects import ReadinessChanged
 from springmux.agent.events import (
@@ -69,7 +70,7 @@
 from springmux.rollout.status import RolloutStatus
 from springmux.router.router import Router
 from springmux.vocabulary.engines import EnginesView
-from springmux.vocabulary.names import ServiceName
+from springmux.vocabulary.names import OrderId, ServiceName
 
 EventHandler = Callable[[Any, float], list[Effect]]
 """Handles one event; each handler accepts its own event type."""
@@ -99,7 +100,7 @@
         )
         self._dispatcher = EffectDispatcher(NodeId(settings.node), self._components)
         self._leadership = LeadershipHandlers(NodeId(settings.node), self._dispatcher)
-        self._control = ControlHandlers(self._dispatcher, self._applier)
+        self._control = ControlHandlers(self._dispatcher, self._applier, lambda: self.ready)
         fleet = FleetHandlers(self._dispatcher, self._leadership)
         for component_handlers in (self._leadership, self._control, fleet):
             self._dispatcher.register(component_handlers.handlers())
@@ -173,6 +174,10 @@
         """
         return self._components.freshness.proof_age_s(now)
 
+    def decision_age(self, order: OrderId, now: float) -> DecisionAge:
+        """Return how long ago an order was decided that the control state knows to be decided."""
+        return self._control.decision_times.age(order, now)
+
     @property
     def log_position(self) -> LogPosition:
         """Position of this node in the control log, sent in the envelope of every message."""
--- a/src/springmux/agent/control_handlers.py
+++ b/src/springmux/agent/control_handlers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from springmux.agent.control_view_publisher import ControlViewPublisher
+from springmux.agent.decision_times import DecisionTimes
 from springmux.agent.effect_dispatcher import OWN_CORRELATION_ID, EffectDispatcher, EffectHandler
 from springmux.agent.effects import FlowsRevoked, OrderAnswered
 from springmux.agent.state_applier import AppliedWork, StateApplier, StateWork
@@ -15,21 +16,34 @@
     ProvideSnapshot,
     ReplaceState,
 )
-from springmux.control.order_events import ProposalEnded, ProposeCommand, ReplyToOrder
+from springmux.control.order_events import (
+    CommandDecided,
+    ProposalEnded,
+    ProposeCommand,
+    ReplyToOrder,
+    StateReplaced,
+)
 from springmux.coordination.consensus import effects as raft
 from springmux.coordination.consensus.proposals import STORAGE_FULL
-from springmux.coordination.state_machine import Effect
+from springmux.coordination.state_machine import Effect, Event
 
 
 class ControlHandlers:
-    """Connects the replica, the state applier, the delivery and the orders of one node."""
+    """Connects the replica, the state applier, the delivery and the orders of one node.
+
+    :param is_current: whether the node has the newest state, so that it learns of decisions at once.
+    """
 
-    def __init__(self, dispatcher: EffectDispatcher, applier: StateApplier) -> None:
+    def __init__(
+        self, dispatcher: EffectDispatcher, applier: StateApplier, is_current: Callable[[], bool]
+    ) -> None:
         self._dispatcher = dispatcher
         self._components = dispatcher.components
         self._applier = applier
         self._publisher = ControlViewPublisher(dispatcher.components)
         self._installing: raft.InstallSnapshot | None = None
+        self._is_current = is_current
+        self.decision_times = DecisionTimes()
 
     def handlers(self) -> Mapping[type[Effect], EffectHandler]:
         """Return the effect handlers of this module."""
@@ -67,6 +81,7 @@
         published = self._publisher.publish(self._applier.state.view(), now)
         dispatcher.deadlines.invalidate_all()
         driver_effects += dispatcher.execute(published.effects, now)
+        self._record_decisions(work.events, now)
         for event in work.events:
             is_snapshot = isinstance(event, delivery_events.SnapshotProvided)
             driver_effects += dispatcher.deliver(
@@ -76,6 +91,13 @@
             driver_effects.append(FlowsRevoked(tuple(published.revoked_flows)))
         return driver_effects
 
+    def _record_decisions(self, events: list[Event], now: float) -> None:
+        for event in events:
+            if isinstance(event, CommandDecided):
+                self.decision_times.record(event.result.order, self._is_current(), now)
+            elif isinstance(event, StateReplaced):
+                self.decision_times.record_replacement(now)
+
     def _on_state_work(self, effect: StateWork, now: float) -> list[Effect]:
         return self._publish(self._applier.enqueue(effect), now)
 
--- a/src/springmux/agent/state_applier.py
+++ b/src/springmux/agent/state_applier.py
@@ -14,7 +14,7 @@
 from springmux.control.compression import uncompressed_size_bytes
 from springmux.control.delivery.effects import ApplyCommands, ProvideSnapshot, ReplaceState
 from springmux.control.delivery.events import SnapshotProvided
-from springmux.control.order_events import CommandDecided
+from springmux.control.order_events import CommandDecided, StateReplaced
 from springmux.control.state import ControlState
 from springmux.control.state_snapshot import UnreadableSnapshotError
 from springmux.coordination.consensus.effects import TakeSnapshot
@@ -89,6 +89,7 @@
             self._apply(work, events)
         elif isinstance(work, ReplaceState):
             self.state.restore(work.snapshot)
+            events.append(StateReplaced())
         elif isinstance(work, TakeSnapshot):
             meta = SnapshotMeta(work.index, work.term, work.members)
             effects.append(WriteSnapshot(meta, self.state.snapshot()))
--- a/src/springmux/control/order_events.py
+++ b/src/springmux/control/order_events.py
@@ -21,6 +21,10 @@
     result: CommandResult
 
 
+class StateReplaced(Event, frozen=True):
+    """The control state was replaced by a snapshot, whose decisions are of unknown age."""
+
+
 class ProposalEnded(Event, frozen=True):
     """The replica dropped a proposal. ``unknown``: whether the command may be committed nevertheless."""
 
--- a/src/springmux/node/gateway/configuration_endpoints.py
+++ b/src/springmux/node/gateway/configuration_endpoints.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from springmux.agent.agent import NodeAgent
 from springmux.control.commands import ApplyGateway, gateway_order_id
-from springmux.control.freshness.events import ProofRequested
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.control_responses import (
     ControlResponse,
@@ -15,14 +12,12 @@
     retry_later,
     submit_command,
 )
+from springmux.node.gateway.state_proof import StateProof
 from springmux.node.http.types import ServerExchange
 from springmux.vocabulary.errors import ErrorCode
 
 BASE_VERSION_HEADER = b"if-match"
 PRECONDITION_FAILED = 412
-PROOF_TIMEOUT_S = 0.7
-"""Time to wait for a proof; operators' clients wait 1 s for the response."""
-POLL_INTERVAL_S = 0.02
 
 
 class ConfigurationEndpoints:
@@ -38,7 +33,7 @@
         self._agent = agent
         self._driver = driver
         self._timeout_s = timeout_s
-        self._proof_s = proof_s
+        self._proof = StateProof(agent, driver, proof_s)
 
     async def handle(self, method: str, exchange: ServerExchange) -> ControlResponse:
         """Respond to one request."""
@@ -50,25 +45,13 @@
 
     async def _show(self) -> ControlResponse:
         """Return the newest configuration, or 503 without a proof that it is the newest."""
-        proven = self._agent.ready and await self._prove_newest()
+        proven = await self._proof.obtain_recent()
         document = self._agent.control.gateway_document()
         if document is None or not proven:
             reason = self._agent.not_ready_reason or "no proof from the leader, or no configuration yet"
             return retry_later(ErrorCode.NOT_READY, f"the newest configuration is not known here: {reason}")
         return ControlResponse(200, document)
 
-    async def _prove_newest(self) -> bool:
-        """Request a proof from the leader unless there is a recent one. Return whether it arrives in time."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + PROOF_TIMEOUT_S
-        if self._agent.state_proof_age_s(loop.time()) > self._proof_s:
-            self._driver.submit(ProofRequested())
-        while self._agent.state_proof_age_s(loop.time()) > self._proof_s:
-            if loop.time() >= deadline:
-                return False
-            await asyncio.sleep(POLL_INTERVAL_S)
-        return True
-
     async def _change(self, exchange: ServerExchange, partial: bool) -> ControlResponse:
         document = await exchange.body()
         base = (exchange.head.header(BASE_VERSION_HEADER) or b"0").strip().strip(b'"')
--- a/src/springmux/node/gateway/control_responses.py
+++ b/src/springmux/node/gateway/control_responses.py
@@ -69,6 +69,16 @@
         return retry_later(
             ErrorCode.NO_QUORUM, "no leader decided the order in time; send it again unchanged"
         )
+    return result_response(result, conflict_status, conflict, invalid)
+
+
+def result_response(
+    result: CommandResult,
+    conflict_status: int,
+    conflict: ErrorCode,
+    invalid: ErrorCode = ErrorCode.INVALID_ORDER,
+) -> ControlResponse:
+    """Return the response to a decided command, as :func:`command_response` does."""
     if result.outcome is Outcome.ACCEPTED:
         return ControlResponse(200, b"{}")
     if result.outcome is Outcome.CONFLICT:
--- a/src/springmux/node/gateway/rollout_endpoints.py
+++ b/src/springmux/node/gateway/rollout_endpoints.py
@@ -4,43 +4,45 @@
 
 import asyncio
 from collections import Counter
-from typing import Annotated
 
 import msgspec
-import xxhash
 
 from springmux.agent.agent import NodeAgent
-from springmux.control.commands import CONTENT_ORDER_PREFIX, PromoteRollout
+from springmux.control.commands import PromoteRollout
+from springmux.coordination.identifiers import Revision
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.control_responses import (
     ControlResponse,
     command_response,
     error_response,
+    result_response,
     retry_later,
     submit_command,
 )
+from springmux.node.gateway.rollout_orders import (
+    Repetition,
+    RolloutBody,
+    classify_repetition,
+    last_equal_order,
+    order_id,
+    rollout_id,
+)
 from springmux.node.gateway.settings import GatewaySettings
+from springmux.node.gateway.state_proof import StateProof
 from springmux.node.http.types import ServerExchange
 from springmux.node.service_rates import ServiceRates
 from springmux.rollout.planning.standard_plan import plan_for
 from springmux.rollout.reported_state import may_report_done, state_of
 from springmux.vocabulary.engines import EngineStatus
 from springmux.vocabulary.errors import ErrorCode
-from springmux.vocabulary.names import OrderId, RolloutId, ServiceName, VersionName
+from springmux.vocabulary.names import ServiceName, VersionName
 
 CONFLICT_STATUS = 409
+NOT_PROVEN = "the newest state is not known here"
 RATE_WINDOW_S = 3.0
 """Window of the request rate that a plan is based on. A longer one could include time without traffic."""
 
 
-class RolloutBody(msgspec.Struct, frozen=True):
-    """Body of a command to move a service's traffic to the engines of a version within ``by_s`` seconds."""
-
-    service: str
-    candidate: str
-    by_s: Annotated[float, msgspec.Meta(gt=0)]
-
-
 class RolloutStateBody(msgspec.Struct, frozen=True):
     """Body of the response with a rollout's state: running, done or aborted."""
 
@@ -58,13 +60,14 @@
         self._settings = settings
         self._agent = agent
         self._driver = driver
+        self._proof = StateProof(agent, driver, settings.read_proof_s)
 
     async def handle(self, method: str, service: str, exchange: ServerExchange) -> ControlResponse:
         """Respond to one request."""
         if method == "POST" and not service:
             return await self._promote(await exchange.body())
         if method == "GET" and service:
-            return self._show(ServiceName(service))
+            return await self._show(ServiceName(service))
         return error_response(405, ErrorCode.METHOD_NOT_ALLOWED, "use POST, or GET with a service's name")
 
     async def _promote(self, body: bytes) -> ControlResponse:
@@ -72,6 +75,24 @@
             requested = msgspec.json.decode(body, type=RolloutBody)
         except msgspec.DecodeError as error:
             return error_response(400, ErrorCode.INVALID_ORDER, str(error))
+        if not await self._proof.obtain_new():
+            return retry_later(ErrorCode.NOT_READY, f"{NOT_PROVEN}: {self._agent.not_ready_reason}")
+        last = last_equal_order(self._agent.control, requested)
+        if last is not None:
+            now = asyncio.get_running_loop().time()
+            resend_s = self._settings.order_resend_ms / 1000.0
+            repetition = classify_repetition(self._agent, ServiceName(requested.service), last, resend_s, now)
+            if repetition is Repetition.SENT_AGAIN:
+                return result_response(last.result, CONFLICT_STATUS, ErrorCode.ROLLOUT_CONFLICT)
+            if repetition is Repetition.UNDECIDABLE:
+                return retry_later(ErrorCode.NOT_READY, "an equal order was decided; send this one later")
+        return await self._decide(requested, last.result.revision if last is not None else Revision(0))
+
+    async def _decide(self, requested: RolloutBody, after: Revision) -> ControlResponse:
+        """Submit a new order.
+
+        :param after: revision at which the last equal order was decided, or 0 if there is none.
+        """
         service, candidate = ServiceName(requested.service), VersionName(requested.candidate)
         released = self._released_version(service, candidate)
         if not released and service not in self._agent.view.rollouts:
@@ -86,14 +107,8 @@
             int(settings.rollback_ms),
             self._rates.per_s(service, RATE_WINDOW_S) * max(1, len(self._agent.membership.present())),
         )
-        # Derived from the body, so that a retry of the command at any node identifies the same rollout.
-        identity = xxhash.xxh3_128_hexdigest(msgspec.json.encode(requested))
-        command = PromoteRollout(
-            order=OrderId(f"{CONTENT_ORDER_PREFIX}{identity}"),
-            rollout=RolloutId(identity),
-            plan=plan,
-            stable=released,
-        )
+        rollout = rollout_id(requested, after)
+        command = PromoteRollout(order=order_id(rollout), rollout=rollout, plan=plan, stable=released)
         outcome = await submit_command(self._driver, command, settings.order_timeout_s)
         return command_response(outcome, CONFLICT_STATUS, ErrorCode.ROLLOUT_CONFLICT)
 
@@ -107,11 +122,12 @@
         )
         return min(counts, key=lambda version: (-counts[version], version), default=VersionName(""))
 
-    def _show(self, service: ServiceName) -> ControlResponse:
+    async def _show(self, service: ServiceName) -> ControlResponse:
+        """Return the newest state of the service's rollout, or 503 without a proof that it is the newest."""
+        if not await self._proof.obtain_recent():
+            return retry_later(ErrorCode.NOT_READY, f"{NOT_PROVEN}: {self._agent.not_ready_reason}")
         current = self._agent.gateway.rollouts.get(service)
         if current is None:
-            if not self._agent.ready:
-                return retry_later(ErrorCode.NOT_READY, self._agent.not_ready_reason)
             return error_response(404, ErrorCode.NOT_FOUND, f"there is no rollout of {service!r}")
         record = current.record
         now = asyncio.get_running_loop().time()
--- a/src/springmux/node/gateway/settings.py
+++ b/src/springmux/node/gateway/settings.py
@@ -57,6 +57,8 @@
     requests, so that a key is rejected everywhere ``revocation_ms`` after its removal was acknowledged.
     ``contact_ms``: time without a disturbance after which a node counts as in contact with the fleet.
     ``change_in_force_ms``: time within which an acknowledged change is active at every node in contact.
+    ``order_resend_ms``: time within which operators send an order without an id of its own again; an equal
+    one that comes later is a new order.
     ``memory_mb``: memory that the process may use, in megabytes; clients may fill a quarter of it.
     ``max_descriptors``: descriptors that the process may open; a lower ``RLIMIT_NOFILE`` applies instead.
 
@@ -89,6 +91,7 @@
     rollback_ms: Milliseconds = 5000
     stop_grace_s: Seconds = 8.0
     order_timeout_s: TimeoutSeconds = 4.0
+    order_resend_ms: Milliseconds = 4000
     memory_mb: Megabytes = DEFAULT_MEMORY_MB
     max_descriptors: Descriptors = DEFAULT_MAX_DESCRIPTORS
     log_level: Literal["debug", "info", "warning", "error"] = "info"
--- /dev/null
+++ b/src/springmux/node/gateway/state_proof.py
@@ -0,0 +1,56 @@
+"""Proof that this node's control state includes everything that was acknowledged."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from springmux.agent.agent import NodeAgent
+from springmux.control.freshness.events import ProofRequested
+from springmux.node.driver import AgentDriver
+
+PROOF_TIMEOUT_S = 0.7
+"""Time to wait for a proof; operators' clients wait 1 s for the response."""
+POLL_INTERVAL_S = 0.02
+
+
+class StateProof:
+    """Requests proofs from the leader and waits for them.
+
+    :param max_age_s: maximum age in seconds of a proof that counts for a read.
+    """
+
+    def __init__(self, agent: NodeAgent, driver: AgentDriver, max_age_s: float) -> None:
+        self._agent = agent
+        self._driver = driver
+        self._max_age_s = max_age_s
+
+    async def obtain_recent(self) -> bool:
+        """Return whether there is a recent proof, or one arrives in time."""
+        if not self._agent.ready:
+            return False
+        if self._proof_age_s() > self._max_age_s:
+            self._driver.submit(ProofRequested())
+        return await self._wait_for_proof(lambda: self._max_age_s)
+
+    async def obtain_new(self) -> bool:
+        """Return whether a proof of a moment after this call arrives in time.
+
+        The event also lets the agent notice a pause of the process: the request may have waited meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        self._driver.submit(ProofRequested())
+        return self._agent.ready and await self._wait_for_proof(lambda: loop.time() - began_at)
+
+    async def _wait_for_proof(self, max_age_s: Callable[[], float]) -> bool:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + PROOF_TIMEOUT_S
+        while self._proof_age_s() > max_age_s():
+            if loop.time() >= deadline:
+                return False
+            await asyncio.sleep(POLL_INTERVAL_S)
+        return True
+
+    def _proof_age_s(self) -> float:
+        return self._agent.state_proof_age_s(asyncio.get_running_loop().time())
--- a/tests/unit/node/gateway/test_configuration_reads.py
+++ b/tests/unit/node/gateway/test_configuration_reads.py
@@ -15,12 +15,10 @@
 from springmux.control.freshness.events import ProofRequested
 from springmux.coordination.state_machine import Event
 from springmux.node.driver import AgentDriver
-from springmux.node.gateway.configuration_endpoints import (
-    PROOF_TIMEOUT_S,
-    ConfigurationEndpoints,
-)
+from springmux.node.gateway.configuration_endpoints import ConfigurationEndpoints
 from springmux.node.gateway.control_responses import ControlResponse
 from springmux.node.gateway.settings import GatewaySettings
+from springmux.node.gateway.state_proof import PROOF_TIMEOUT_S
 from springmux.node.http.types import ServerExchange
 from tests.unit.node.gateway.scripted_engines import now, play
 
--- a/tests/unit/platform/test_settings_template.py
+++ b/tests/unit/platform/test_settings_template.py
@@ -25,6 +25,7 @@
     "tenants": {"strictRevoke": False, "revokeMs": 5000},
     "rollout": {"canaryShare": 0.1, "canarySlack": 50, "rollbackMs": 5000},
     "drain": {"graceS": 8, "drainMs": 2000},
+    "config": {"ackMs": 6000},
 }
 NUMERIC_BOUNDS = sorted(
     (contract, bound)
@@ -102,6 +103,7 @@
     assert settings.strict_revocation is True
     assert (settings.retry_share, settings.fleet_retries, settings.retry_window_s) == (0.2, 220, 10)
     assert (settings.expose_share, settings.expose_allowance, settings.rollback_ms) == (0.1, 50, 5000)
+    assert settings.order_resend_ms == 6000
     assert settings.data_folder == "/data/node"
 
 
