Resumable streams: ids rise by any step, and the seam between two engines is checked

Cause: an id above the last one plus one was taken for a gap. PROTOCOL.md says only that ids rise.

Change: within one engine's run any step is right. At the seam an engine that continues may step as far as the largest step so far, and one that starts over must have an event that ends where the last forwarded one does. With even steps no missing and no repeated piece passes.

--- a/src/springmux/node/gateway/attempt.py
+++ b/src/springmux/node/gateway/attempt.py
@@ -191,6 +191,8 @@
         """Forward a stream as it arrives. Nothing is sent before the first event, so a retry is possible."""
         exchange, events = self._request.exchange, self._request.events
         tail = b""
+        if events is not None:
+            events.begin_run()
         while data := await upstream.read():
             tail = (tail + data)[-4:]
             if events is not None:
