Engines' stops are acknowledged once most controllers have them; orders accept a recent proof

Seen, in the model: a node that was just cut off acknowledges an engine's drain or DELETE for up to 1.5 s, until it notices, and nobody else hears of it.

Cause: the acknowledgement of a stop rested on evidence of contact from before. The order waited for a proof from after its arrival; followers' proofs are the leader's, which a quorum confirms each 0.4 s, so that one request hardly ever brought a newer one.

Change: a stop is acknowledged once a majority of the controllers gave a receipt, or there is evidence of contact from after the report; after 0.9 s the engine is told to try another node. An order needs a proof of at most half of the time within which changes are in force, as reads do. That suffices: a decision that a node doesn't know yet is the one that its copy of the order belongs to, by the id. The agent still handles an event first, so that a node that was suspended takes no order that waited. The messages of the directory are dispatched by their type.

--- a/src/springmux/agent/agent.py
+++ b/src/springmux/agent/agent.py
@@ -70,7 +70,7 @@
 from springmux.rollout.status import RolloutStatus
 from springmux.router.router import Router
 from springmux.vocabulary.engines import EnginesView
-from springmux.vocabulary.names import OrderId, ServiceName
+from springmux.vocabulary.names import EngineId, OrderId, ServiceName
 
 EventHandler = Callable[[Any, float], list[Effect]]
 """Handles one event; each handler accepts its own event type."""
@@ -174,6 +174,16 @@
         """
         return self._components.freshness.proof_age_s(now)
 
+    def stop_is_confirmed(self, engine: EngineId, left: bool, since: float, now: float) -> bool:
+        """Return whether a stop that an engine reported to this node at ``since`` will reach all nodes.
+
+        A majority of the controllers has it, or this node has been in contact with the fleet since then.
+        """
+        components = self._components
+        if components.contact.is_controller_majority(components.directory.stop_holders(engine, left)):
+            return True
+        return components.contact.proven_at(now) >= since
+
     def decision_age(self, order: OrderId, now: float) -> DecisionAge:
         """Return how long ago an order was decided that the control state knows to be decided."""
         return self._control.decision_times.age(order, now)
--- a/src/springmux/agent/directory/engine_directory.py
+++ b/src/springmux/agent/directory/engine_directory.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
+from typing import Any
 
 from springmux.agent.directory import messages as wire
 from springmux.agent.directory.anti_entropy import AntiEntropy
@@ -26,6 +28,7 @@
 from springmux.agent.directory.owner_nodes import OwnerNodes
 from springmux.agent.directory.relay_queue import RelayQueue
 from springmux.agent.directory.settings import DirectorySettings
+from springmux.agent.directory.stop_confirmations import StopConfirmations
 from springmux.agent.directory.stops import Stop, StopReorderBuffer
 from springmux.agent.directory.table import DirectoryTable
 from springmux.agent.directory.unresponsive_peers import UnresponsivePeers
@@ -38,12 +41,16 @@
     LogLevel,
     LogLine,
     MessageReceived,
+    PeerMessage,
     Send,
     Tick,
 )
 from springmux.vocabulary.engines import EngineRecord, EngineStatus, EnginesView
 from springmux.vocabulary.names import EngineId
 
+MessageHandler = Callable[[NodeId, Any, float], list[Effect]]
+"""Handles a peer's message; each handler accepts its own message type."""
+
 
 class EngineDirectory:
     """One node's replica of the directory: handles events of its engines and messages of its peers."""
@@ -61,11 +68,13 @@
         self._handled_at: float | None = None
         self._relay_queue = RelayQueue(self._table, self._settings)
         self._stops = StopReorderBuffer()
+        self._confirmations = StopConfirmations(own, self._settings.stop_receipts_s)
         self._forwarder = HeartbeatForwarder(own, self._owners, self._settings)
         self._scan_at = 0.0
         self._loads_at = 0.0
         self._publish_at = 0.0
         self._unpublished = False
+        self._message_handlers = self._make_message_handlers()
 
     @property
     def view(self) -> EnginesView:
@@ -92,6 +101,7 @@
         elif isinstance(event, MembershipUpdated):
             self._owners.update_view(event.view)
             self._unresponsive.update_view(event.view)
+            self._confirmations.update_view(event.view)
         elif isinstance(event, ContactChanged):
             effects += self._change_contact(event, now)
         else:
@@ -102,6 +112,10 @@
         """Return whether the directory may lack changes made while this node was partitioned or down."""
         return self._catch_up.running(now)
 
+    def stop_holders(self, engine: EngineId, left: bool) -> frozenset[NodeId]:
+        """Return the nodes known to know that an engine drains (or left), as it reported to this node."""
+        return self._confirmations.holders(engine, left)
+
     def _change_contact(self, event: ContactChanged, now: float) -> list[Effect]:
         self._monitor.connected = event.connected
         self._monitor.restart_timeouts(now)
@@ -152,13 +166,24 @@
             known = self._table.get(event.record.engine)
             if known is not None and known.record.incarnation == event.record.incarnation:
                 self._table.put_load(event.load)
+            if event.record.status is EngineStatus.DRAINING:
+                effects += self._request_confirmation(event.record.engine, event.record.incarnation, now)
             return effects
         if isinstance(event, EngineDraining):
-            return self._handle_stop(event.engine, Stop(False, event.incarnation), now)
+            effects = self._handle_stop(event.engine, Stop(False, event.incarnation), now)
+            return effects + self._request_confirmation(event.engine, event.incarnation, now)
         if isinstance(event, EngineLeft):
-            return self._handle_stop(event.engine, Stop(True, event.incarnation), now)
+            effects = self._handle_stop(event.engine, Stop(True, event.incarnation), now)
+            return effects + self._request_confirmation(event.engine, event.incarnation, now)
         return []
 
+    def _request_confirmation(self, engine: EngineId, incarnation: int, now: float) -> list[Effect]:
+        """Tell the controllers of a stop. A node that doesn't know the engine passes on that it has left."""
+        known = self._table.get(engine)
+        if known is None:
+            return self._confirmations.request(departed_entry(engine, incarnation), now)
+        return self._confirmations.request(known, now) if known.draining or known.left else []
+
     def _handle_record(self, record: EngineRecord, now: float, announced: bool) -> list[Effect]:
         known = self._table.get(record.engine)
         draining = record.status is EngineStatus.DRAINING
@@ -231,6 +256,7 @@
     def _expire(self, now: float) -> None:
         self._stops.expire(now)
         self._relay_queue.expire(now)
+        self._confirmations.expire(now)
         for engine in self._table.remove_expired(now, self._settings):
             self._forwarder.forget(engine)
             self._monitor.forget(engine)
@@ -246,30 +272,68 @@
         effects += self._anti_entropy.begin(others, now)
         return effects + self._send_catch_up_digests(now)
 
-    def _handle_message(self, sender: NodeId, message: object, now: float) -> list[Effect]:
+    def _handle_message(self, sender: NodeId, message: PeerMessage, now: float) -> list[Effect]:
         self._unresponsive.discard(sender)
-        if isinstance(message, wire.DirectoryRelay):
-            effects = self._merge_received(message.entries, now)
-            return effects + self._relay.forward(sender, message, now)
-        if isinstance(message, wire.DirectoryRelayAck):
-            self._relay.acknowledge(sender, message)
-        if isinstance(message, wire.EngineHeartbeatsRelay):
-            return self._apply_result(self._monitor.handle_heartbeats(message.incarnations, now), now)
-        if isinstance(message, wire.EngineTimeoutVote):
-            return self._apply_result(self._monitor.handle_votes(sender, message.incarnations, now), now)
-        if isinstance(message, wire.DirectoryDigest):
-            return self._anti_entropy.handle_digest(sender, message, not self._catch_up.running(now))
-        if isinstance(message, wire.LostEnginesQuery):
-            return self._anti_entropy.handle_lost_query(sender, message)
-        if isinstance(message, wire.DirectoryInSync):
-            self._catch_up.stop()
-        if isinstance(message, wire.DirectoryBuckets):
-            return self._anti_entropy.handle_buckets(sender, message, now)
-        if isinstance(message, wire.DirectoryEntries):
-            effects = self._merge_received(message.entries, now)
-            return effects + self._reply_to_entries(sender, message)
+        handler = self._message_handlers.get(type(message))
+        return [] if handler is None else handler(sender, message, now)
+
+    def _make_message_handlers(self) -> dict[type[PeerMessage], MessageHandler]:
+        return {
+            wire.DirectoryRelay: self._on_relay,
+            wire.DirectoryRelayAck: self._on_relay_ack,
+            wire.EngineStopNotice: self._on_stop_notice,
+            wire.EngineStopReceipt: self._on_stop_receipt,
+            wire.EngineHeartbeatsRelay: self._on_heartbeats,
+            wire.EngineTimeoutVote: self._on_votes,
+            wire.DirectoryDigest: self._on_digest,
+            wire.LostEnginesQuery: self._on_lost_query,
+            wire.DirectoryInSync: self._on_in_sync,
+            wire.DirectoryBuckets: self._on_buckets,
+            wire.DirectoryEntries: self._on_entries,
+        }
+
+    def _on_relay(self, sender: NodeId, message: wire.DirectoryRelay, now: float) -> list[Effect]:
+        effects = self._merge_received(message.entries, now)
+        return effects + self._relay.forward(sender, message, now)
+
+    def _on_relay_ack(self, sender: NodeId, message: wire.DirectoryRelayAck, _now: float) -> list[Effect]:
+        self._relay.acknowledge(sender, message)
         return []
 
+    def _on_stop_notice(self, sender: NodeId, message: wire.EngineStopNotice, now: float) -> list[Effect]:
+        entry = message.entry
+        receipt = wire.EngineStopReceipt(entry.record.engine, entry.left)
+        return [*self._merge_received((entry,), now), Send(sender, receipt)]
+
+    def _on_stop_receipt(self, sender: NodeId, message: wire.EngineStopReceipt, _now: float) -> list[Effect]:
+        self._confirmations.record(sender, message)
+        return []
+
+    def _on_heartbeats(
+        self, _sender: NodeId, message: wire.EngineHeartbeatsRelay, now: float
+    ) -> list[Effect]:
+        return self._apply_result(self._monitor.handle_heartbeats(message.incarnations, now), now)
+
+    def _on_votes(self, sender: NodeId, message: wire.EngineTimeoutVote, now: float) -> list[Effect]:
+        return self._apply_result(self._monitor.handle_votes(sender, message.incarnations, now), now)
+
+    def _on_digest(self, sender: NodeId, message: wire.DirectoryDigest, now: float) -> list[Effect]:
+        return self._anti_entropy.handle_digest(sender, message, not self._catch_up.running(now))
+
+    def _on_lost_query(self, sender: NodeId, message: wire.LostEnginesQuery, _now: float) -> list[Effect]:
+        return self._anti_entropy.handle_lost_query(sender, message)
+
+    def _on_in_sync(self, _sender: NodeId, _message: wire.DirectoryInSync, _now: float) -> list[Effect]:
+        self._catch_up.stop()
+        return []
+
+    def _on_buckets(self, sender: NodeId, message: wire.DirectoryBuckets, now: float) -> list[Effect]:
+        return self._anti_entropy.handle_buckets(sender, message, now)
+
+    def _on_entries(self, sender: NodeId, message: wire.DirectoryEntries, now: float) -> list[Effect]:
+        effects = self._merge_received(message.entries, now)
+        return effects + self._reply_to_entries(sender, message)
+
     def _merge_received(self, entries: tuple[DirectoryEntry, ...], now: float) -> list[Effect]:
         return [effect for entry in entries for effect in self._merge_from_peer(entry, now)]
 
--- a/src/springmux/agent/directory/messages.py
+++ b/src/springmux/agent/directory/messages.py
@@ -36,6 +36,22 @@
     high: int
 
 
+class EngineStopNotice(PeerMessage, frozen=True, tag="EngineStopNotice"):
+    """An engine told the sender that it drains or has left.
+
+    The receiver, a controller, replies with a receipt.
+    """
+
+    entry: DirectoryEntry
+
+
+class EngineStopReceipt(PeerMessage, frozen=True, tag="EngineStopReceipt"):
+    """The sender knows that the engine drains, or with ``left`` that it has left."""
+
+    engine: EngineId
+    left: bool
+
+
 class EngineHeartbeatsRelay(PeerMessage, frozen=True, tag="DirectoryHeard"):
     """Heartbeats that the sender just received, forwarded to the engines' owner nodes."""
 
@@ -88,6 +104,8 @@
 MESSAGES: tuple[type[PeerMessage], ...] = (
     DirectoryRelay,
     DirectoryRelayAck,
+    EngineStopNotice,
+    EngineStopReceipt,
     EngineHeartbeatsRelay,
     EngineTimeoutVote,
     DirectoryDigest,
--- a/src/springmux/agent/directory/settings.py
+++ b/src/springmux/agent/directory/settings.py
@@ -40,6 +40,8 @@
     relay_attempts: int = 5
     """Number of times that a range is relayed. At 360 nodes in 4 zones a range is down to single nodes after
     three."""
+    stop_receipts_s: float = 60.0
+    """Time for which the controllers' receipts for a stop are kept after the engine's last report of it."""
     unresponsive_s: float = 2.0
     """Time for which a peer that didn't answer is neither used as a relay nor sent digests."""
     scan_period_s: float = 0.5
--- a/src/springmux/coordination/membership/contact_known_nodes.py
+++ b/src/springmux/coordination/membership/contact_known_nodes.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 from springmux.coordination.identifiers import NodeId
 from springmux.coordination.membership.settings import ContactSettings
@@ -112,6 +112,10 @@
         """Return the number of nodes that are a majority of the set."""
         return max(len(self._known), self._min_size) // 2 + 1
 
+    def is_majority(self, nodes: Collection[NodeId]) -> bool:
+        """Return whether ``nodes`` contain a majority of the set."""
+        return sum(1 for node in nodes if node in self._known) >= self.majority()
+
     def proven_at(self, evidence_at: Callable[[NodeId], float]) -> float:
         """Return the time at which this node was last in contact with a majority of the set.
 
--- a/src/springmux/coordination/membership/contact_monitor.py
+++ b/src/springmux/coordination/membership/contact_monitor.py
@@ -13,7 +13,7 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from springmux.coordination.identifiers import NodeId
 from springmux.coordination.membership.contact_beacon import BeaconRelay
@@ -125,6 +125,10 @@
         """Return the time of the newest evidence for :meth:`connected`, or minus infinity without any."""
         return self._compute_connected_until(now) - self._settings.evidence_s
 
+    def is_controller_majority(self, nodes: Collection[NodeId]) -> bool:
+        """Return whether ``nodes`` contain a majority of the controllers."""
+        return self._controllers.is_majority(nodes)
+
     def connected_to_most_nodes(self, now: float) -> bool:
         """Return whether this node has fresh evidence of a majority of all known nodes.
 
--- a/src/springmux/node/gateway/configuration_endpoints.py
+++ b/src/springmux/node/gateway/configuration_endpoints.py
@@ -45,7 +45,7 @@
 
     async def _show(self) -> ControlResponse:
         """Return the newest configuration, or 503 without a proof that it is the newest."""
-        proven = await self._proof.obtain_recent()
+        proven = await self._proof.obtain()
         document = self._agent.control.gateway_document()
         if document is None or not proven:
             reason = self._agent.not_ready_reason or "no proof from the leader, or no configuration yet"
--- a/src/springmux/node/gateway/engine_endpoints.py
+++ b/src/springmux/node/gateway/engine_endpoints.py
@@ -27,6 +27,10 @@
 ONLY_INCARNATION = 1
 """Incarnation of every engine. An engine gets a new identity at each start, so each has one incarnation."""
 MAX_NAME_LENGTH = 200
+ACKNOWLEDGED = 200
+CONFIRMATION_TIMEOUT_S = 0.9
+"""Time to wait until a stop is confirmed; engines wait 1 s for the response."""
+CONFIRMATION_POLL_S = 0.01
 
 
 class HeartbeatBody(msgspec.Struct, frozen=True):
@@ -55,29 +59,46 @@
             return error_response(
                 400, ErrorCode.INVALID_ORDER, "the path must end with the engine's identity"
             )
-        response = self._apply(method, engine, body)
-        reason = self._agent.not_ready_reason
-        if response.status == 200 and not self._agent.ready and reason in ISOLATED_REASONS:
-            return retry_later(ErrorCode.NOT_READY, f"not passed on: this node is {reason}; tell another one")
-        return response
-
-    def _apply(self, method: str, engine: str, body: bytes) -> ControlResponse:
         if method == "DELETE":
             self._submit(EngineLeft(EngineId(engine), ONLY_INCARNATION))
-            return ControlResponse(200, b"{}")
+            return await self._acknowledge_stop(EngineId(engine), left=True)
         if method != "PUT":
             return error_response(405, ErrorCode.METHOD_NOT_ALLOWED, "use PUT or DELETE")
-        return self._apply_heartbeat(engine, body)
-
-    def _apply_heartbeat(self, engine: str, body: bytes) -> ControlResponse:
         try:
             heartbeat = msgspec.json.decode(body, type=HeartbeatBody)
         except msgspec.DecodeError as error:
             return error_response(400, ErrorCode.INVALID_ORDER, str(error))
+        self._apply_heartbeat(engine, heartbeat)
+        if heartbeat.state == "draining":
+            return await self._acknowledge_stop(EngineId(engine), left=False)
+        return self._acknowledge()
+
+    def _acknowledge(self) -> ControlResponse:
+        reason = self._agent.not_ready_reason
+        if not self._agent.ready and reason in ISOLATED_REASONS:
+            return retry_later(ErrorCode.NOT_READY, f"not passed on: this node is {reason}; tell another one")
+        return ControlResponse(ACKNOWLEDGED, b"{}")
+
+    async def _acknowledge_stop(self, engine: EngineId, left: bool) -> ControlResponse:
+        """Acknowledge a drain or departure once it is sure to reach all nodes.
+
+        A node notices with a delay that it is cut off, and an acknowledged stop binds the whole fleet.
+        """
+        response = self._acknowledge()
+        if response.status != ACKNOWLEDGED:
+            return response
+        loop = asyncio.get_running_loop()
+        since = loop.time()
+        while not self._agent.stop_is_confirmed(engine, left, since, loop.time()):
+            if loop.time() - since >= CONFIRMATION_TIMEOUT_S:
+                return retry_later(ErrorCode.NOT_READY, "no other node confirmed it; tell another one")
+            await asyncio.sleep(CONFIRMATION_POLL_S)
+        return self._acknowledge()
+
+    def _apply_heartbeat(self, engine: str, heartbeat: HeartbeatBody) -> None:
         now = asyncio.get_running_loop().time()
         load = EngineLoad(engine=EngineId(engine), running=0, queued=0, measured_at=now)
         self._submit(EngineHeartbeat(record=_record(engine, heartbeat), load=load))
-        return ControlResponse(200, b"{}")
 
 
 def _record(engine: str, heartbeat: HeartbeatBody) -> EngineRecord:
--- a/src/springmux/node/gateway/rollout_endpoints.py
+++ b/src/springmux/node/gateway/rollout_endpoints.py
@@ -75,7 +75,7 @@
             requested = msgspec.json.decode(body, type=RolloutBody)
         except msgspec.DecodeError as error:
             return error_response(400, ErrorCode.INVALID_ORDER, str(error))
-        if not await self._proof.obtain_new():
+        if not await self._proof.obtain_after_pause():
             return retry_later(ErrorCode.NOT_READY, f"{NOT_PROVEN}: {self._agent.not_ready_reason}")
         last = last_equal_order(self._agent.control, requested)
         if last is not None:
@@ -124,7 +124,7 @@
 
     async def _show(self, service: ServiceName) -> ControlResponse:
         """Return the newest state of the service's rollout, or 503 without a proof that it is the newest."""
-        if not await self._proof.obtain_recent():
+        if not await self._proof.obtain():
             return retry_later(ErrorCode.NOT_READY, f"{NOT_PROVEN}: {self._agent.not_ready_reason}")
         current = self._agent.gateway.rollouts.get(service)
         if current is None:
--- a/src/springmux/node/gateway/rollout_orders.py
+++ b/src/springmux/node/gateway/rollout_orders.py
@@ -20,8 +20,9 @@
 from springmux.rollout.plan import RolloutPhase
 from springmux.vocabulary.names import OrderId, RolloutId, ServiceName
 
-CALL_IN_FLIGHT_S = 1.0
-"""Time for which the last call of a caller may be under way: it waits as long for an answer."""
+CALL_IN_FLIGHT_S = 2.0
+"""Time for which the last call of a caller may be under way. The caller waits for a second; a node that was
+suspended for longer than its evidence of contact counts (1.5 s) takes no order that waited meanwhile."""
 
 
 class RolloutBody(msgspec.Struct, frozen=True):
--- a/tests/unit/bad_days/engine_reports.py
+++ b/tests/unit/bad_days/engine_reports.py
@@ -11,6 +11,7 @@
 from springmux.coordination.identifiers import NodeId
 from springmux.coordination.state_machine import Event, Tick
 from springmux.node.gateway.engine_endpoints import EngineEndpoints, HeartbeatBody
+from springmux.vocabulary.names import EngineId
 from tests.unit.bad_days.gateway_fleet import TEXT, V1, GatewayFleet
 from tests.unit.bad_days.model_engines import Behaviour, ModelEngine
 from tests.unit.node.gateway.scripted_engines import now
@@ -27,6 +28,9 @@
         self.not_ready_reason = reason
         self.ready = not reason
 
+    def stop_is_confirmed(self, engine: EngineId, left: bool, since: float, now: float) -> bool:
+        return True
+
 
 class EngineReports:
     """Delivers reports of engines to the directory that the nodes of a fleet use."""
