Server: a request that is refused for want of memory is never handled

Cause: the handler's task is created before the bytes that came with the head are counted. The refusal left a body whose decoder was at its end, so it counted as complete, and the task looked at that before it looked at the exchange's end.

Change: a body that failed is never complete, and the exchange's end is checked first.

Test: test_a_request_for_which_there_is_no_memory_is_refused_and_not_executed; before, the handler executes the refused request.

--- a/src/springmux/node/http/request_body.py
+++ b/src/springmux/node/http/request_body.py
@@ -30,13 +30,14 @@
         self._received = bytearray()
         self._whole: bytes | None = None
         self._undecoded_bytes = 0
+        self._failed = False
         if announced_bytes and not self.too_large:
             self._hold(announced_bytes)
 
     @property
     def complete(self) -> bool:
-        """Whether the body was read to its end."""
-        return self._decoder.done
+        """Whether the body was read to its end, and every byte of it was kept."""
+        return self._decoder.done and not self._failed
 
     @property
     def rest(self) -> bytes:
@@ -49,11 +50,16 @@
         return self._decoder.undecoded_bytes
 
     def feed(self, data: bytes) -> None:
-        """Consume bytes of the request.
+        """Consume bytes of the request. After an error the body never becomes complete.
 
         :raises MalformedMessageError: the body's framing is not valid.
         :raises MemoryExhaustedError: there is no room for them.
         """
+        self._failed = True
+        self._consume(data)
+        self._failed = False
+
+    def _consume(self, data: bytes) -> None:
         part = self._decoder.feed(data)
         self._count_undecoded()
         if self.too_large or not part:
--- a/src/springmux/node/http/server_exchange.py
+++ b/src/springmux/node/http/server_exchange.py
@@ -121,12 +121,13 @@
         :raises ClientDisconnectedError: the client disconnected before the end of the body.
         """
         while True:
+            # Checked first: a refused request, to which this applies too, must not be executed.
+            if self.disconnected or self.finished:
+                raise ClientDisconnectedError
             if self.body_too_large:
                 raise BodyTooLargeError
             if self._body.complete:
                 return self._body.whole()
-            if self.disconnected or self.finished:
-                raise ClientDisconnectedError
             self._connection.send_continue()
             waiter = asyncio.get_running_loop().create_future()
             self._waiters.append(waiter)
--- a/tests/unit/node/http/test_server_yields.py
+++ b/tests/unit/node/http/test_server_yields.py
@@ -36,6 +36,7 @@
         self.release = asyncio.Event()
         self.began = asyncio.Event()
         self.disconnected = 0
+        self.executed = 0
 
     async def handle(self, exchange: ServerExchange) -> None:
         try:
@@ -43,6 +44,7 @@
         except ClientDisconnectedError:
             self.disconnected += 1
             raise
+        self.executed += 1
         if exchange.head.target == b"/held":
             self.began.set()
             await self.release.wait()
@@ -72,6 +74,23 @@
         await asyncio.sleep(0)
 
 
+async def test_a_request_for_which_there_is_no_memory_is_refused_and_not_executed() -> None:
+    """Guards against a chunked request that is refused with 503 and handled with an empty body."""
+    requests = Requests()
+    async with small_server(requests) as server:
+        holder, client = await server.connect(), await server.connect()
+        holder.send(WHOLE.replace(b"POST /", b"POST /held"))
+        await requests.began.wait()
+        chunk = b"x" * 2 * BODY_BYTES
+        head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        client.send(head + b"%x\r\n" % len(chunk) + chunk + b"\r\n0\r\n\r\n")
+        await client.expect(REFUSAL_503)
+        for _ in range(LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+        assert (requests.disconnected, requests.executed) == (1, 1), "only the held request is executed"
+        requests.release.set()
+
+
 @pytest.mark.usefixtures("stalls_at_once")
 async def test_an_unfinished_body_yields_with_the_promise_that_it_has_not_run() -> None:
     requests = Requests()
