--- a/src/springmux/lab/soak/plan.py
+++ b/src/springmux/lab/soak/plan.py
@@ -21,6 +21,8 @@
 
 Without any folder of the first start no group may be founded (docs/notes/agreement.md).
 """
+LOST_SHARE = 0.6
+"""Share of all nodes that is lost at once, as far as there are as many without a disk."""
 PAUSE_S = (0.3, 3.5)
 """Range of the time between the starts of two series; most series last longer, so they overlap."""
 
@@ -129,6 +131,15 @@
     return [Step(at_s, kind, node, down_s) for node in range(size.controllers)]
 
 
+def _lose_most_without_disk(source: random.Random, size: SoakSize, at_s: float) -> list[Step]:
+    """Kill or freeze most of the nodes at the same time, none with a disk; they are back in seconds."""
+    kind = source.choice((SignalKind.KILL, SignalKind.FREEZE))
+    plain = range(size.controllers, size.nodes)
+    lost = source.sample(plain, min(len(plain), round(LOST_SHARE * size.nodes)))
+    back_s = source.uniform(3.0, 6.0)
+    return [Step(at_s, kind, node, back_s) for node in lost]
+
+
 def _freeze_some(source: random.Random, size: SoakSize, at_s: float) -> list[Step]:
     """Freeze a quarter of the nodes at the same time."""
     for_s = source.uniform(0.4, 4.0)
@@ -151,6 +162,7 @@
     _kill_many,
     _kill_one,
     _stop_controllers,
+    _lose_most_without_disk,
     _freeze_some,
     _hang_up_some,
 )
