--- a/src/springmux/agent/decision_times.py
+++ b/src/springmux/agent/decision_times.py
@@ -34,9 +34,10 @@
         :param is_current: whether the node was up to date until then, so that it learned of it at once.
         """
         self._learned.setdefault(order, (now, is_current))
-        for oldest in list(self._learned):
-            if now - self._learned[oldest][0] <= KEPT_S:
-                break
+        while self._learned:
+            oldest, (learned_at, _) = next(iter(self._learned.items()))
+            if now - learned_at <= KEPT_S:
+                return
             del self._learned[oldest]
 
     def record_replacement(self, now: float) -> None:
--- a/src/springmux/agent/directory/change_relay.py
+++ b/src/springmux/agent/directory/change_relay.py
@@ -17,7 +17,7 @@
 from springmux.agent.directory.settings import DirectorySettings
 from springmux.agent.directory.unresponsive_peers import UnresponsivePeers
 from springmux.coordination.identifiers import NodeId, ZoneName
-from springmux.coordination.membership.relay import HASH_END, RelayTarget, range_targets, relay_position
+from springmux.coordination.membership.relay import RelayTarget, range_targets, zone_targets
 from springmux.coordination.state_machine import NEVER, Effect, Send
 
 _HopKey = tuple[NodeId, int, int, int]
@@ -99,30 +99,14 @@
         return self._send_to(others, message, hop.attempt + 1, now)
 
     def _root_targets(self, salt: int, now: float) -> list[RelayTarget]:
-        """Return one node in each other zone, and those that split the root's own zone."""
-        targets: list[RelayTarget] = []
-        for zone in sorted(set(self._owners.zones.values())):
-            if zone == self._owners.own_zone:
-                targets += self._range_targets(zone, salt, 0, HASH_END, now)
-                continue
-            members = self._members(zone)
-            usable = set(members) - self._unresponsive.among(members, now) or members
-            head = min(usable, key=lambda node: (relay_position(node, salt), node))
-            targets.append(RelayTarget(head, 0, HASH_END))
-        return targets
-
-    def _members(self, zone: ZoneName) -> list[NodeId]:
-        return [
-            node for node, its_zone in self._owners.zones.items() if its_zone == zone and node != self._own
-        ]
+        zones = self._owners.zones
+        silent = self._unresponsive.among(zones, now)
+        return zone_targets(zones, self._own, salt, self._settings.relay_fanout, silent)
 
     def _range_targets(self, zone: ZoneName, salt: int, low: int, high: int, now: float) -> list[RelayTarget]:
-        """Split a range among the nodes that answer; the others get the message, but relay nothing."""
-        members = [node for node in self._members(zone) if low <= relay_position(node, salt) < high]
-        unresponsive = self._unresponsive.among(members, now)
-        usable = [node for node in members if node not in unresponsive]
-        leaves = [RelayTarget(node, 0, 0) for node in sorted(unresponsive)]
-        return range_targets(usable, self._own, salt, low, high, self._settings.relay_fanout) + leaves
+        members = [node for node, its_zone in self._owners.zones.items() if its_zone == zone]
+        silent = self._unresponsive.among(members, now)
+        return range_targets(members, self._own, salt, low, high, self._settings.relay_fanout, silent)
 
     def _send_to(
         self, targets: list[RelayTarget], message: DirectoryRelay, attempt: int, now: float
--- a/src/springmux/coordination/membership/contact_beacon.py
+++ b/src/springmux/coordination/membership/contact_beacon.py
@@ -45,7 +45,7 @@
         self._zone_peers: list[NodeId] = []
         self._newest = (-1, -1)
         self._rounds: dict[tuple[int, int], _BeaconRound] = {}
-        self._majority_reached_at: float | None = None
+        self._majority_reached_at = -math.inf
         self.evidence_at: float | None = None
         self.evidence_received_at: float | None = None
 
@@ -59,7 +59,7 @@
         """Discard all evidence, which a pause of this process invalidates."""
         self.evidence_at = None
         self.evidence_received_at = None
-        self._majority_reached_at = None
+        self._majority_reached_at = -math.inf
 
     def _add_evidence(self, proven_at: float, now: float) -> None:
         if self.evidence_at is None or proven_at > self.evidence_at:
@@ -85,8 +85,7 @@
         sequence = self._newest[1] + 1 if term == self._newest[0] else 1
         self._find_majority_round(term, majority)
         self._newest = (term, sequence)
-        nodes_at = -math.inf if self._majority_reached_at is None else self._majority_reached_at
-        proven_at = min(quorum_at, max(nodes_at, controllers_at))
+        proven_at = min(quorum_at, max(self._majority_reached_at, controllers_at))
         is_proven = math.isfinite(proven_at)
         if is_proven:
             self._add_evidence(proven_at, now)
@@ -100,9 +99,7 @@
     def _find_majority_round(self, term: int, majority: int) -> None:
         for (round_term, _), beacon_round in self._rounds.items():
             if round_term == term and beacon_round.parent is None and beacon_round.nodes >= majority:
-                self._majority_reached_at = max(
-                    beacon_round.sent_at, self._majority_reached_at or beacon_round.sent_at
-                )
+                self._majority_reached_at = max(beacon_round.sent_at, self._majority_reached_at)
 
     def _start_round(self, parent: NodeId | None, pending: int, now: float) -> None:
         self._rounds[self._newest] = _BeaconRound(parent, now, pending, 1, now + _COUNT_TIMEOUT_S)
--- a/src/springmux/coordination/membership/contact_known_nodes.py
+++ b/src/springmux/coordination/membership/contact_known_nodes.py
@@ -30,6 +30,8 @@
 class KnownNodes:
     """The nodes that count, and those of them, other than this one, that are present.
 
+    Before the first view this node counts.
+
     :param counts: whether a node belongs to the set.
     :param min_size: number of nodes that the set is known to have, even while fewer have been met.
     """
@@ -45,7 +47,7 @@
         self._settings = settings
         self._counts = counts
         self._min_size = min_size
-        self._known: set[NodeId] = {own} if counts is is_any_node else set()
+        self._known: set[NodeId] = {own}
         self._connected_since: float | None = None
         self._gone_at: dict[NodeId, float] = {}
         self._excluded: set[NodeId] = set()
@@ -88,17 +90,16 @@
         self.present = tuple(sorted(node for node in present if node != self._own))
         self.has_met_others = self.has_met_others or bool(self.present)
 
-    def record_contact(self, connected: bool, now: float) -> None:
-        """Record whether this node is in contact with a majority of the set at ``now``."""
+    def expire(self, connected: bool, now: float) -> None:
+        """Exclude nodes that have been gone for ``settle_s`` while this node was in contact.
+
+        :param connected: whether this node is in contact with a majority of the set.
+        """
         if not connected:
             self._connected_since = None
-        elif self._connected_since is None:
-            self._connected_since = now
-
-    def expire(self, now: float) -> None:
-        """Exclude nodes that have been gone for ``settle_s`` while this node was in contact."""
-        if self._connected_since is None:
             return
+        if self._connected_since is None:
+            self._connected_since = now
         for node, gone_at in list(self._gone_at.items()):
             if now - max(self._connected_since, gone_at) >= self._settings.settle_s:
                 self._exclude(node)
--- a/src/springmux/coordination/membership/contact_monitor.py
+++ b/src/springmux/coordination/membership/contact_monitor.py
@@ -136,8 +136,11 @@
         """
         if self._is_alone:
             return not self._has_seeds
-        since = now - self._settings.evidence_s
-        return max(self._beacon_at_if_trusted(now), self._known.proven_at(self._evidence_at)) >= since
+        return self._is_in_contact_with_most(self._known, now)
+
+    def _is_in_contact_with_most(self, nodes: KnownNodes, now: float) -> bool:
+        proven_at = max(self._beacon_at_if_trusted(now), nodes.proven_at(self._evidence_at))
+        return now - proven_at <= self._settings.evidence_s
 
     @property
     def _is_alone(self) -> bool:
@@ -162,7 +165,7 @@
         """Return why this node isn't in contact, or an empty string if it is."""
         if self.connected(now):
             return ""
-        if not self._known.has_met_others and len(self._known) == 1:
+        if self._is_alone:
             return "not joined any node yet"
         controllers = f"{self._count_fresh(self._controllers, now)} of {len(self._controllers)} controllers"
         return f"in contact with {self.fresh_count(now)} of {len(self._known)} known nodes, {controllers}"
@@ -249,11 +252,8 @@
 
     def _expire_known_nodes(self, now: float) -> None:
         before = len(self._known) + len(self._controllers)
-        since = now - self._settings.evidence_s
-        beacon_at = self._beacon_at_if_trusted(now)
         for known in (self._known, self._controllers):
-            known.record_contact(max(beacon_at, known.proven_at(self._evidence_at)) >= since, now)
-            known.expire(now)
+            known.expire(self._is_in_contact_with_most(known, now), now)
         if len(self._known) + len(self._controllers) != before:
             self._handle_known_nodes_change()
 
@@ -290,7 +290,7 @@
             return []
         self._beacon_at = now + self._settings.beacon_period_s * 0.9
         quorum_at = now - event.age_s
-        controllers_at = min(quorum_at, self._controllers.proven_at(self._evidence_at))
+        controllers_at = self._controllers.proven_at(self._evidence_at)
         return self._beacons.send_as_leader(
             event.term, quorum_at, controllers_at, self._known.majority(), now
         )
--- a/src/springmux/coordination/membership/relay.py
+++ b/src/springmux/coordination/membership/relay.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 
 import msgspec
 import xxhash
@@ -19,7 +19,7 @@
 
 
 class RelayTarget(msgspec.Struct, frozen=True):
-    """Send to ``node``, which then relays to the nodes of its zone in ``[low, high)``."""
+    """Send to ``node``, which then relays to the nodes of its zone in ``[low, high)``, which may be empty."""
 
     node: NodeId
     low: int
@@ -31,8 +31,13 @@
     return xxhash.xxh32_intdigest(node.encode(), salt & 0xFFFFFFFF)
 
 
-def zone_targets(zones: Mapping[NodeId, ZoneName], own: NodeId, salt: int, fanout: int) -> list[RelayTarget]:
-    """Return the root's targets: one node in each other zone, and those that split the root's own zone."""
+def zone_targets(
+    zones: Mapping[NodeId, ZoneName], own: NodeId, salt: int, fanout: int, silent: Set[NodeId] = frozenset()
+) -> list[RelayTarget]:
+    """Return the root's targets: one node in each other zone, and those that split the root's own zone.
+
+    :param silent: nodes that don't answer, which relay only where no other node of their zone is left.
+    """
     targets: list[RelayTarget] = []
     members: dict[ZoneName, list[NodeId]] = {}
     for node, zone in zones.items():
@@ -40,25 +45,37 @@
             members.setdefault(zone, []).append(node)
     for zone, nodes in sorted(members.items()):
         if zone == zones.get(own):
-            targets += range_targets(nodes, own, salt, 0, HASH_END, fanout)
+            targets += range_targets(nodes, own, salt, 0, HASH_END, fanout, silent)
             continue
-        head = min(nodes, key=lambda node: (relay_position(node, salt), node))
+        candidates = [node for node in nodes if node not in silent] or nodes
+        head = min(candidates, key=lambda node: (relay_position(node, salt), node))
         targets.append(RelayTarget(node=head, low=0, high=HASH_END))
     return targets
 
 
 def range_targets(
-    nodes: Iterable[NodeId], own: NodeId, salt: int, low: int, high: int, fanout: int
+    nodes: Iterable[NodeId],
+    own: NodeId,
+    salt: int,
+    low: int,
+    high: int,
+    fanout: int,
+    silent: Set[NodeId] = frozenset(),
 ) -> list[RelayTarget]:
-    """Split ``[low, high)`` into at most ``fanout`` runs of nodes; the first node of each run relays."""
+    """Split ``[low, high)`` into at most ``fanout`` runs of nodes; the first node of each run relays.
+
+    :param silent: nodes that don't answer, which are targets of their own and relay nothing.
+    """
     if low >= high:
         return []
     positions = sorted((relay_position(node, salt), node) for node in nodes if node != own)
-    inside = [entry for entry in positions if low <= entry[0] < high]
+    in_range = [entry for entry in positions if low <= entry[0] < high]
+    inside = [entry for entry in in_range if entry[1] not in silent]
     run_length = math.ceil(len(inside) / fanout) if inside else 1
     starts = range(0, len(inside), run_length)
     targets: list[RelayTarget] = []
     for start in starts:
         end = inside[start + run_length][0] if start + run_length < len(inside) else high
         targets.append(RelayTarget(node=inside[start][1], low=inside[start][0], high=end))
-    return targets
+    leaves = sorted(node for _, node in in_range if node in silent)
+    return targets + [RelayTarget(node, 0, 0) for node in leaves]
--- a/src/springmux/node/gateway/rollout_endpoints.py
+++ b/src/springmux/node/gateway/rollout_endpoints.py
@@ -38,7 +38,6 @@
 from springmux.vocabulary.names import ServiceName, VersionName
 
 CONFLICT_STATUS = 409
-NOT_PROVEN = "the newest state is not known here"
 RATE_WINDOW_S = 3.0
 """Window of the request rate that a plan is based on. A longer one could include time without traffic."""
 
@@ -76,7 +75,7 @@
         except msgspec.DecodeError as error:
             return error_response(400, ErrorCode.INVALID_ORDER, str(error))
         if not await self._proof.obtain_after_pause():
-            return retry_later(ErrorCode.NOT_READY, f"{NOT_PROVEN}: {self._agent.not_ready_reason}")
+            return self._not_proven()
         last = last_equal_order(self._agent.control, requested)
         if last is not None:
             now = asyncio.get_running_loop().time()
@@ -122,10 +121,14 @@
         )
         return min(counts, key=lambda version: (-counts[version], version), default=VersionName(""))
 
+    def _not_proven(self) -> ControlResponse:
+        reason = self._agent.not_ready_reason or "no proof from the leader"
+        return retry_later(ErrorCode.NOT_READY, f"the newest state is not known here: {reason}")
+
     async def _show(self, service: ServiceName) -> ControlResponse:
         """Return the newest state of the service's rollout, or 503 without a proof that it is the newest."""
         if not await self._proof.obtain():
-            return retry_later(ErrorCode.NOT_READY, f"{NOT_PROVEN}: {self._agent.not_ready_reason}")
+            return self._not_proven()
         current = self._agent.gateway.rollouts.get(service)
         if current is None:
             return error_response(404, ErrorCode.NOT_FOUND, f"there is no rollout of {service!r}")
--- a/src/springmux/node/gateway/startup_gate.py
+++ b/src/springmux/node/gateway/startup_gate.py
@@ -6,16 +6,15 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
+from springmux.node.gateway.polling import wait_until
+
 STARTUP_S = 2.0
 """Time after a node's start in which it holds requests. After a loss of power of all machines a node knew the
 configuration 0.2 to 1.2 s after its start."""
 MAX_WAITING = 256
 """Limit on the number of held requests. A start needs fewer."""
-POLL_INTERVAL_S = 0.02
-"""Interval at which a held request checks its condition; well below the duration of a request."""
 
 
 class StartupGate:
@@ -30,16 +29,13 @@
 
         Returns immediately if ``MAX_WAITING`` requests are waiting.
         """
-        loop = asyncio.get_running_loop()
         if condition() or self._waiting >= MAX_WAITING:
             return condition()
         self._waiting += 1
         try:
-            while not condition() and loop.time() < self._open_at:
-                await asyncio.sleep(POLL_INTERVAL_S)
+            return await wait_until(condition, self._open_at)
         finally:
             self._waiting -= 1
-        return condition()
 
 
 def open_gate() -> StartupGate:
--- a/src/springmux/node/gateway/state_proof.py
+++ b/src/springmux/node/gateway/state_proof.py
@@ -7,10 +7,10 @@
 from springmux.agent.agent import NodeAgent
 from springmux.control.freshness.events import ProofRequested
 from springmux.node.driver import AgentDriver
+from springmux.node.gateway.polling import wait_until
 
 PROOF_TIMEOUT_S = 0.7
 """Time to wait for a proof; operators' clients wait 1 s for the response."""
-POLL_INTERVAL_S = 0.02
 
 
 class StateProof:
@@ -28,9 +28,10 @@
         """Return whether there is a recent proof, or one arrives in time."""
         if not self._agent.ready:
             return False
-        if self._proof_age_s() > self._max_age_s:
+        if not self._is_recent():
             self._driver.submit(ProofRequested())
-        return await self._wait_for_proof()
+        deadline = asyncio.get_running_loop().time() + PROOF_TIMEOUT_S
+        return await wait_until(self._is_recent, deadline)
 
     async def obtain_after_pause(self) -> bool:
         """Do the same as :meth:`obtain`, but first let the agent notice whether the process was suspended.
@@ -41,14 +42,6 @@
         self._driver.submit(ProofRequested())
         return await self.obtain()
 
-    async def _wait_for_proof(self) -> bool:
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + PROOF_TIMEOUT_S
-        while self._proof_age_s() > self._max_age_s:
-            if loop.time() >= deadline:
-                return False
-            await asyncio.sleep(POLL_INTERVAL_S)
-        return True
-
-    def _proof_age_s(self) -> float:
-        return self._agent.state_proof_age_s(asyncio.get_running_loop().time())
+    def _is_recent(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self._agent.state_proof_age_s(now) <= self._max_age_s
--- a/tests/unit/agent/test_control_state_at_node.py
+++ b/tests/unit/agent/test_control_state_at_node.py
@@ -9,8 +9,9 @@
 from springmux.control.commands import ApplyConfiguration, PutTemplate
 from springmux.coordination.identifiers import NodeId, ZoneName
 from springmux.simulation.hollow_fleet import HollowFleet, HollowPlace
-from springmux.simulation.world.faults import CutPair, Heal, Kill, Restart, Wipe
+from springmux.simulation.world.faults import Heal, Kill, Restart, Wipe
 from springmux.vocabulary.names import OrderId
+from tests.support.partitions import partition
 
 PARSE_S = 1.0
 DISCOVERY_S = 0.7
@@ -76,12 +77,6 @@
     assert fleet.run_until(ready, 12)
 
 
-def partition(fleet: HollowFleet, some: str, others: str) -> None:
-    pairs = [(one, other) for one in some for other in others]
-    for source, target in pairs + [(other, one) for one, other in pairs]:
-        fleet.world.apply(CutPair(at=fleet.world.now, source=NodeId(source), target=NodeId(target)))
-
-
 def groups(fleet: HollowFleet) -> set[str | None]:
     found = {agent.status().replica.group for agent in fleet.agents().values() if agent.status().replica}
     return found - {None}
--- a/tests/unit/agent/test_most_nodes_gone.py
+++ b/tests/unit/agent/test_most_nodes_gone.py
@@ -10,14 +10,15 @@
 import pytest
 
 from springmux.agent.effects import OrderAnswered
-from springmux.agent.events import EngineAnnounced, EngineLeft
+from springmux.agent.events import EngineLeft
 from springmux.control.commands import PutTemplate
 from springmux.control.freshness.events import ProofRequested
-from springmux.coordination.identifiers import Address, NodeId
+from springmux.coordination.identifiers import NodeId
 from springmux.simulation.hollow_fleet import FleetObserver, HollowFleet, HollowPlace, places_by_zone
-from springmux.simulation.world.faults import CutPair, Freeze, Heal, Kill, Restart, Thaw
-from springmux.vocabulary.engines import EngineRecord, EngineStatus
-from springmux.vocabulary.names import EngineId, OrderId, ServiceName, VersionName
+from springmux.simulation.world.faults import Freeze, Heal, Kill, Restart, Thaw
+from springmux.vocabulary.engines import EngineStatus
+from springmux.vocabulary.names import EngineId, OrderId
+from tests.support.partitions import announce_engine, partition
 
 CONTACT_S = 3.0
 ACKNOWLEDGED_WITHIN_S = 4.0
@@ -95,7 +96,7 @@
 ) -> None:
     fleet = ready_fleet(places, seed)
     source = random.Random(seed)
-    engines = [announce(fleet, number) for number in range(LEAVING_ENGINES)]
+    engines = announce_engines(fleet)
     fleet.world.run_for(CONTACT_S)
     gone, staying = lose_most(fleet, loss, seed)
     departed_at: dict[EngineId, float] = {}
@@ -120,7 +121,7 @@
     """Other nodes may not know yet that a node is back: their relays miss it, so it asks them itself."""
     fleet = ready_fleet(SMALL, seed)
     source = random.Random(seed)
-    engines = [announce(fleet, number) for number in range(LEAVING_ENGINES)]
+    engines = announce_engines(fleet)
     fleet.world.run_for(CONTACT_S)
     gone, staying = lose_most(fleet, loss, seed)
     fleet.world.run_for(DOWN_S)
@@ -134,6 +135,54 @@
     assert [node for engine in engines for node in nodes_listing_as_ready(fleet, engine, everyone)] == []
 
 
+@LOSSES
+@SIZES
+def test_nodes_that_come_back_with_an_old_state_get_every_change_in_time(
+    places: list[HollowPlace], loss: type[Kill | Freeze]
+) -> None:
+    fleet = ready_fleet(places, seed=6)
+    answers = Answers()
+    fleet.observers.append(answers)
+    gone, staying = lose_most(fleet, loss, seed=6)
+    for number in range(5):
+        fleet.world.run_for(DOWN_S / 5)
+        command = PutTemplate(order=OrderId(f"order-{number}"), name=f"template-{number}", document=b"{}")
+        fleet.submit(staying[number % len(staying)], command)
+    bring_back(fleet, loss, gone)
+    fleet.world.run_for(CONTACT_S)
+    assert len(answers.accepted_at) == 5
+    names = {f"template-{number}" for number in range(5)}
+    assert [node for node in gone if not names <= fleet.agents()[node].view.templates.keys()] == []
+
+
+@LOSSES
+@SIZES
+def test_controllers_alone_and_one_of_them_down_decide_and_take_departures(
+    places: list[HollowPlace], loss: type[Kill | Freeze]
+) -> None:
+    """All nodes without a disk are gone, and the loss of one with a disk must be borne beside it."""
+    fleet = ready_fleet(places, seed=7)
+    answers = Answers()
+    fleet.observers.append(answers)
+    engine = announce_engine(fleet, places[0].node, "engine")
+    fleet.world.run_for(CONTACT_S)
+    controllers = [place.node for place in places if place.controller]
+    lost = [place.node for place in places if not place.controller] + [controllers[1]]
+    for node in lost:
+        fleet.world.apply(loss(at=fleet.world.now, node=node))
+    fleet.world.run_for(CONTACT_S)
+    staying = [node for node in controllers if node not in lost]
+    assert [node for node in staying if not fleet.agents()[node].ready] == []
+    order = fleet.submit(staying[0], PutTemplate(order=OrderId("order"), name="new", document=b"{}"))
+    told_at = fleet.world.now
+    fleet.world.deliver(staying[0], EngineLeft(engine))
+    assert fleet.run_until(lambda: order in answers.accepted_at, ACKNOWLEDGED_WITHIN_S)
+    assert fleet.agents()[staying[0]].stop_is_confirmed(engine, told_at, fleet.world.now)
+    fleet.world.run_for(max(0.0, told_at + DRAINED_WITHIN_S - fleet.world.now))
+    assert [node for node in staying if "new" not in fleet.agents()[node].view.templates] == []
+    assert nodes_listing_as_ready(fleet, engine, staying) == []
+
+
 def test_survivors_declare_the_others_dead_though_most_of_their_probes_fail() -> None:
     fleet = ready_fleet(SMALL, seed=3)
     gone, staying = lose_most(fleet, Kill, seed=3)
@@ -150,10 +199,7 @@
     fleet = ready_fleet(SMALL, seed=4)
     cut_off = [place.node for place in SMALL if not place.controller][:3]
     others = [place.node for place in SMALL if place.node not in cut_off]
-    for one in cut_off:
-        for other in others:
-            for source, target in ((one, other), (other, one)):
-                fleet.world.apply(CutPair(at=fleet.world.now, source=source, target=target))
+    partition(fleet, cut_off)
     fleet.world.run_for(20)
     for node in cut_off:
         view = fleet.agents()[node].membership
@@ -162,13 +208,9 @@
     assert fleet.run_until(fleet.all_ready, 10)
 
 
-def announce(fleet: HollowFleet, number: int) -> EngineId:
-    engine = EngineId(f"engine-{number}")
-    record = EngineRecord(
-        engine, ServiceName("text"), VersionName("v1"), Address(f"10.9.0.{number}:80"), 8, incarnation=1
-    )
-    fleet.world.deliver(fleet.places()[0].node, EngineAnnounced(record))
-    return engine
+def announce_engines(fleet: HollowFleet) -> list[EngineId]:
+    node = fleet.places()[0].node
+    return [announce_engine(fleet, node, f"engine-{number}") for number in range(LEAVING_ENGINES)]
 
 
 def bring_back(fleet: HollowFleet, loss: type[Kill | Freeze], nodes: list[NodeId]) -> None:
--- a/tests/unit/agent/test_partitioned_node.py
+++ b/tests/unit/agent/test_partitioned_node.py
@@ -11,6 +11,7 @@
 from springmux.simulation.world.faults import CutPair, Heal, Kill, Restart
 from springmux.vocabulary.engines import EngineRecord, EngineStatus
 from springmux.vocabulary.names import EngineId, OrderId, ServiceName, VersionName
+from tests.support.partitions import partition
 
 CONTROLLERS, ROUTERS = "abc", "vwxyz"
 ENGINE = EngineRecord(
@@ -37,14 +38,6 @@
     return fleet
 
 
-def partition(fleet: HollowFleet, inside: str) -> None:
-    outside = [name for name in CONTROLLERS + ROUTERS if name not in inside]
-    for one in inside:
-        for other in outside:
-            for source, target in ((one, other), (other, one)):
-                fleet.world.apply(CutPair(at=fleet.world.now, source=NodeId(source), target=NodeId(target)))
-
-
 def test_change_on_the_side_of_most_controllers_reaches_all_nodes_in_contact_with_them() -> None:
     """Most nodes are on the other side: they acknowledge nothing, and prove no read of the older state."""
     recorder = AnswerRecorder()
--- a/tests/unit/node/gateway/stand_ins.py
+++ b/tests/unit/node/gateway/stand_ins.py
@@ -28,6 +28,7 @@
 from springmux.node.gateway.headers import HeaderRules
 from springmux.node.gateway.refusal_log import RefusalLog
 from springmux.node.gateway.services import ForwarderServices
+from springmux.node.gateway.settings import GatewaySettings
 from springmux.node.http.types import BodyTooLargeError, ClientDisconnectedError, Header, RequestHead
 from springmux.node.logs import EventLog
 from springmux.node.service_rates import ServiceRates
@@ -152,6 +153,20 @@
         raise AssertionError("there is no rollout")
 
 
+def gateway_settings(**more: Any) -> GatewaySettings:
+    """Return the settings of a node whose listeners aren't used."""
+    settings = GatewaySettings(
+        node="n",
+        zone="z",
+        host="127.0.0.1",
+        front_address="127.0.0.1:1",
+        ready_address="127.0.0.1:2",
+        control_address="127.0.0.1:3",
+        peer_port=4,
+    )
+    return msgspec.structs.replace(settings, **more)
+
+
 def route(kind: GatewayRouteKind, **more: Any) -> GatewayRoute:
     """Return the route of /text/, with up to three attempts unless ``more`` sets another limit."""
     more = {"max_attempts": 3, "timeout_ms": 5000.0, "target_ms": 20_000.0, **more}
--- a/tests/unit/node/gateway/test_configuration_reads.py
+++ b/tests/unit/node/gateway/test_configuration_reads.py
@@ -17,10 +17,10 @@
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.configuration_endpoints import ConfigurationEndpoints
 from springmux.node.gateway.control_responses import ControlResponse
-from springmux.node.gateway.settings import GatewaySettings
 from springmux.node.gateway.state_proof import PROOF_TIMEOUT_S
 from springmux.node.http.types import ServerExchange
 from tests.unit.node.gateway.scripted_engines import now, play
+from tests.unit.node.gateway.stand_ins import gateway_settings
 
 READ_PROOF_S = 1.0
 DOCUMENT = b'{"version":7}'
@@ -121,16 +121,7 @@
 @pytest.mark.parametrize("change_in_force_ms", [200, 500, 2000, 3000])
 def test_the_maximum_age_of_a_proof_is_below_the_time_for_a_change(change_in_force_ms: float) -> None:
     """Given any ``change_in_force_ms``, no reader gets an older state once that time has passed."""
-    settings = GatewaySettings(
-        node="n",
-        zone="z",
-        host="127.0.0.1",
-        front_address="127.0.0.1:1",
-        ready_address="127.0.0.1:2",
-        control_address="127.0.0.1:3",
-        peer_port=4,
-        change_in_force_ms=change_in_force_ms,
-    )
+    settings = gateway_settings(change_in_force_ms=change_in_force_ms)
     assert 0 < settings.read_proof_s < change_in_force_ms / 1000.0
 
 
--- a/tests/unit/node/gateway/test_rollout_orders.py
+++ b/tests/unit/node/gateway/test_rollout_orders.py
@@ -30,7 +30,6 @@
 from springmux.node.driver import AgentDriver
 from springmux.node.gateway.rollout_endpoints import RolloutEndpoints
 from springmux.node.gateway.rollout_orders import CALL_IN_FLIGHT_S
-from springmux.node.gateway.settings import GatewaySettings
 from springmux.node.http.types import ServerExchange
 from springmux.node.service_rates import ServiceRates
 from springmux.rollout.plan import TERMINAL_PHASES, RolloutPhase
@@ -38,21 +37,13 @@
 from springmux.vocabulary.names import OrderId, ServiceName
 from tests.unit.control.gateway_support import change, whole
 from tests.unit.node.gateway.scripted_engines import now, play
+from tests.unit.node.gateway.stand_ins import gateway_settings
 
 RESEND_S = 4.0
 PROOF_AGE_S = 0.4
 """The leader's own proof is as old: a quorum confirms it so often, and other nodes get it from the leader."""
 SERVICE = ServiceName("pages")
-SETTINGS = GatewaySettings(
-    node="n",
-    zone="z",
-    host="127.0.0.1",
-    front_address="127.0.0.1:1",
-    ready_address="127.0.0.1:2",
-    control_address="127.0.0.1:3",
-    peer_port=4,
-    order_resend_ms=RESEND_S * 1000,
-)
+SETTINGS = gateway_settings(order_resend_ms=RESEND_S * 1000)
 
 
 class Log:
