--- a/src/springmux/agent/agent.py
+++ b/src/springmux/agent/agent.py
@@ -174,13 +174,13 @@
         """
         return self._components.freshness.proof_age_s(now)
 
-    def stop_is_confirmed(self, engine: EngineId, left: bool, since: float, now: float) -> bool:
+    def stop_is_confirmed(self, engine: EngineId, since: float, now: float) -> bool:
         """Return whether a stop that an engine reported to this node at ``since`` will reach all nodes.
 
         A majority of the controllers has it, or this node has been in contact with the fleet since then.
         """
         components = self._components
-        if components.contact.is_controller_majority(components.directory.stop_holders(engine, left)):
+        if components.contact.is_controller_majority(components.directory.stop_holders(engine)):
             return True
         return components.contact.proven_at(now) >= since
 
--- a/src/springmux/agent/directory/engine_directory.py
+++ b/src/springmux/agent/directory/engine_directory.py
@@ -112,9 +112,9 @@
         """Return whether the directory may lack changes made while this node was partitioned or down."""
         return self._catch_up.running(now)
 
-    def stop_holders(self, engine: EngineId, left: bool) -> frozenset[NodeId]:
-        """Return the nodes known to know that an engine drains (or left), as it reported to this node."""
-        return self._confirmations.holders(engine, left)
+    def stop_holders(self, engine: EngineId) -> frozenset[NodeId]:
+        """Return the nodes known to know that an engine drains or has left, as it last told this node."""
+        return self._confirmations.holders(engine)
 
     def _change_contact(self, event: ContactChanged, now: float) -> list[Effect]:
         self._monitor.connected = event.connected
@@ -169,11 +169,9 @@
             if event.record.status is EngineStatus.DRAINING:
                 effects += self._request_confirmation(event.record.engine, event.record.incarnation, now)
             return effects
-        if isinstance(event, EngineDraining):
-            effects = self._handle_stop(event.engine, Stop(False, event.incarnation), now)
-            return effects + self._request_confirmation(event.engine, event.incarnation, now)
-        if isinstance(event, EngineLeft):
-            effects = self._handle_stop(event.engine, Stop(True, event.incarnation), now)
+        if isinstance(event, EngineDraining | EngineLeft):
+            stop = Stop(isinstance(event, EngineLeft), event.incarnation)
+            effects = self._handle_stop(event.engine, stop, now)
             return effects + self._request_confirmation(event.engine, event.incarnation, now)
         return []
 
--- a/src/springmux/node/gateway/engine_endpoints.py
+++ b/src/springmux/node/gateway/engine_endpoints.py
@@ -14,6 +14,7 @@
 from springmux.coordination.identifiers import Address, ZoneName
 from springmux.coordination.state_machine import Event
 from springmux.node.gateway.control_responses import ControlResponse, error_response, retry_later
+from springmux.node.gateway.polling import wait_until
 from springmux.node.http.types import ServerExchange
 from springmux.vocabulary.engines import EngineLoad, EngineRecord, EngineStatus
 from springmux.vocabulary.errors import ErrorCode
@@ -61,7 +62,7 @@
             )
         if method == "DELETE":
             self._submit(EngineLeft(EngineId(engine), ONLY_INCARNATION))
-            return await self._acknowledge_stop(EngineId(engine), left=True)
+            return await self._acknowledge_stop(EngineId(engine))
         if method != "PUT":
             return error_response(405, ErrorCode.METHOD_NOT_ALLOWED, "use PUT or DELETE")
         try:
@@ -70,7 +71,7 @@
             return error_response(400, ErrorCode.INVALID_ORDER, str(error))
         self._apply_heartbeat(engine, heartbeat)
         if heartbeat.state == "draining":
-            return await self._acknowledge_stop(EngineId(engine), left=False)
+            return await self._acknowledge_stop(EngineId(engine))
         return self._acknowledge()
 
     def _acknowledge(self) -> ControlResponse:
@@ -79,7 +80,7 @@
             return retry_later(ErrorCode.NOT_READY, f"not passed on: this node is {reason}; tell another one")
         return ControlResponse(ACKNOWLEDGED, b"{}")
 
-    async def _acknowledge_stop(self, engine: EngineId, left: bool) -> ControlResponse:
+    async def _acknowledge_stop(self, engine: EngineId) -> ControlResponse:
         """Acknowledge a drain or departure once it is sure to reach all nodes.
 
         A node notices with a delay that it is cut off, and an acknowledged stop binds the whole fleet.
@@ -89,10 +90,13 @@
             return response
         loop = asyncio.get_running_loop()
         since = loop.time()
-        while not self._agent.stop_is_confirmed(engine, left, since, loop.time()):
-            if loop.time() - since >= CONFIRMATION_TIMEOUT_S:
-                return retry_later(ErrorCode.NOT_READY, "no other node confirmed it; tell another one")
-            await asyncio.sleep(CONFIRMATION_POLL_S)
+        confirmed = await wait_until(
+            lambda: self._agent.stop_is_confirmed(engine, since, loop.time()),
+            since + CONFIRMATION_TIMEOUT_S,
+            CONFIRMATION_POLL_S,
+        )
+        if not confirmed:
+            return retry_later(ErrorCode.NOT_READY, "no other node confirmed it; tell another one")
         return self._acknowledge()
 
     def _apply_heartbeat(self, engine: str, heartbeat: HeartbeatBody) -> None:
--- a/tests/unit/bad_days/engine_reports.py
+++ b/tests/unit/bad_days/engine_reports.py
@@ -28,7 +28,7 @@
         self.not_ready_reason = reason
         self.ready = not reason
 
-    def stop_is_confirmed(self, engine: EngineId, left: bool, since: float, now: float) -> bool:
+    def stop_is_confirmed(self, engine: EngineId, since: float, now: float) -> bool:
         return True
 
 
--- a/tests/unit/node/gateway/test_engine_endpoints.py
+++ b/tests/unit/node/gateway/test_engine_endpoints.py
@@ -34,7 +34,7 @@
         self.not_ready_reason = reason
         self.confirmed_after_s = 0.0
 
-    def stop_is_confirmed(self, engine: EngineId, left: bool, since: float, now: float) -> bool:
+    def stop_is_confirmed(self, engine: EngineId, since: float, now: float) -> bool:
         return now >= since + self.confirmed_after_s
 
 
